--- /dev/null
+++ b/include/toucanusher/connection/carried_message.h
@@ -0,0 +1,64 @@
+// What balancers and agents send each other about flows that they carry without ending them.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "toucanusher/connection/caller_packet.h"
+
+namespace toucanusher {
+
+// Work of an upstream for each of its slots, in thousandths: what flows of it wait for an answer
+// and how many are open.
+enum class load_level : std::uint32_t {};
+
+// An agent that could take a new flow.
+struct load_offer {
+    endpoint agent;
+    load_level load{};
+
+    friend bool operator==(load_offer const&, load_offer const&) = default;
+};
+
+enum class carry_purpose : std::uint8_t {
+    open,    // place a new flow at the least loaded of the candidates
+    deliver, // the agent is believed to hold the flow
+    search,  // whoever holds the flow delivers it
+};
+
+struct carried_packet {
+    carry_purpose purpose = carry_purpose::deliver;
+    std::string service;
+    endpoint origin; // the balancer that wants to know where the flow is
+    // For `open`: agents to ask next, and how many of them still to compare.
+    std::vector<endpoint> candidates;
+    std::uint32_t offers_wanted = 0;
+    std::optional<load_offer> best;
+    std::string packet; // as the caller sent it
+
+    friend bool operator==(carried_packet const&, carried_packet const&) = default;
+};
+
+enum class flow_report : std::uint8_t {
+    held,          // the flow is at the sender
+    not_held,      // it is not; `packet` comes back if it was not delivered
+    nobody_takes,  // none of the candidates could open it
+    other_service, // the sender's upstream serves another service
+};
+char const* to_string(flow_report report);
+
+struct flow_notice {
+    flow_report report = flow_report::held;
+    packet_flow flow;
+    load_level load{};
+    std::string packet;
+
+    friend bool operator==(flow_notice const&, flow_notice const&) = default;
+};
+
+using carried_message = std::variant<carried_packet, flow_notice>;
+
+} // namespace toucanusher
--- /dev/null
+++ b/include/toucanusher/connection/packet_router.h
@@ -0,0 +1,142 @@
+// Decisions of a balancer that carries flows without ending them: which service a new flow goes to,
+// which agents may take it, and where the packets of known flows go.
+//
+// It keeps no flow that matters. What it remembers of flows are hints: without one it asks the
+// agents, and the one that holds the flow delivers the packet and says so.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "toucanusher/connection/carried_message.h"
+#include "toucanusher/process/clock.h"
+#include "toucanusher/version/route_book.h"
+
+namespace toucanusher {
+
+struct packet_router_options {
+    endpoint self; // where agents send notices
+    std::string zone;
+    std::uint32_t offers = 2;         // agents whose load is compared for a new flow
+    std::uint32_t max_candidates = 5; // compared ones, and others if those cannot take it
+    // An opening packet is placed within a few hops of about a millisecond each.
+    duration open_patience = std::chrono::milliseconds{60};
+    std::uint32_t max_open_attempts = 4;
+    duration search_patience = std::chrono::milliseconds{100};
+    std::size_t max_parked_packets = 16; // of one flow: what a caller has in flight at most
+    std::size_t max_searches = 4096;
+    duration hint_lifetime = std::chrono::seconds{90}; // above a flow's longest life
+    std::size_t max_hints = 200000;
+    duration suspicion = std::chrono::seconds{1}; // an agent that did not answer is avoided
+};
+
+// An upstream as the balancer may choose it.
+struct upstream_choice {
+    std::string name;
+    endpoint agent;
+    std::string zone;
+    bool draining = false;
+
+    friend bool operator==(upstream_choice const&, upstream_choice const&) = default;
+};
+
+// What the balancer knows of the fleet, at one version.
+struct router_view {
+    std::shared_ptr<configuration const> routes;                   // never null
+    std::map<std::string, std::vector<upstream_choice>> upstreams; // by service
+};
+
+struct carry_to_agent {
+    endpoint agent;
+    carried_packet message;
+};
+// The caller is told that its new flow was not opened.
+struct refuse_flow {
+    packet_flow flow;
+};
+using router_action = std::variant<carry_to_agent, refuse_flow>;
+
+enum class router_event : std::uint8_t {
+    placing, // a new flow was sent to its candidates
+    placing_again,
+    delivered,
+    searching,
+    found,
+    no_route,
+    no_upstream,
+    nobody_takes,
+    not_found,
+    overflow, // too many searches or parked packets
+};
+char const* to_string(router_event event);
+
+struct router_output {
+    std::vector<router_action> actions;
+    std::vector<std::pair<router_event, packet_flow>> events;
+};
+
+class packet_router {
+  public:
+    packet_router(packet_router_options options, time_point now);
+
+    void set_view(router_view view);
+    router_output on_packet(time_point now, packet_head const& head, std::string packet);
+    router_output on_notice(time_point now, endpoint agent, flow_notice const& notice);
+    router_output on_tick(time_point now);
+    // When on_tick() has something to do next.
+    [[nodiscard]] std::optional<time_point> next_due() const;
+    [[nodiscard]] std::size_t hint_count() const { return hints_.size(); }
+
+  private:
+    struct hint {
+        endpoint agent;
+        std::string service;
+        time_point used{};
+    };
+    struct opening {
+        std::string packet;
+        std::string service;
+        std::vector<endpoint> asked; // first candidates of earlier attempts
+        std::uint32_t attempts = 0;
+        std::uint32_t copies = 0; // that the caller sent before
+        time_point deadline{};
+    };
+    struct search {
+        std::vector<std::string> parked;
+        time_point deadline{};
+    };
+
+    void open_flow(time_point now, packet_head const& head, std::string packet);
+    void place(time_point now, packet_flow const& flow, opening& open);
+    void start_search(time_point now, packet_flow const& flow, std::string packet, endpoint except);
+    void deliver(time_point now, packet_flow const& flow, hint& known, std::string packet);
+    void note(router_event event, packet_flow const& flow);
+    void sweep_hints(time_point now);
+    [[nodiscard]] std::string pick_service(route const& item, packet_flow const& flow) const;
+    [[nodiscard]] std::vector<upstream_choice const*>
+    rank(time_point now, std::string const& service, packet_flow const& flow) const;
+    [[nodiscard]] std::vector<std::string> searched_services(packet_flow const& flow) const;
+    [[nodiscard]] bool suspected(time_point now, endpoint agent) const;
+    router_output finish();
+
+    packet_router_options options_;
+    router_view view_;
+    route_index index_;
+    // Services that each address had before; open flows stay where they are.
+    std::map<endpoint, std::vector<std::string>> earlier_services_;
+    absl::flat_hash_map<packet_flow, hint> hints_;       // at most max_hints
+    absl::flat_hash_map<packet_flow, opening> openings_; // at most max_searches
+    absl::flat_hash_map<packet_flow, search> searches_;  // at most max_searches
+    std::map<endpoint, time_point> suspected_;           // until when
+    time_point next_sweep_{};
+    router_output output_;
+};
+
+} // namespace toucanusher
--- /dev/null
+++ b/include/toucanusher/connection/upstream_flows.h
@@ -0,0 +1,147 @@
+// Decisions of an agent that carries the flows of one upstream without ending them: which new flows
+// the upstream takes, whom a packet belongs to, and when a flow is over for certain.
+//
+// The upstream itself is the authority: it returns packets of flows that it does not hold. The
+// agent keeps a table from what it sees pass, and asks the upstream where the table may be
+// incomplete, that is after a start of the agent beside a living upstream.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "toucanusher/connection/carried_message.h"
+#include "toucanusher/connection/upstream_life.h"
+
+namespace toucanusher {
+
+struct upstream_flows_options {
+    std::string service;
+    endpoint self; // where balancers reach this agent
+    // An upstream on the same host answers an opening packet within a millisecond unless it is
+    // dead or stands still; others take the flow then.
+    duration open_patience = std::chrono::milliseconds{30};
+    // The longest that an upstream keeps a flow; older ones need no asking after a start.
+    duration flow_lifetime = std::chrono::seconds{60};
+    duration idle_lifetime = std::chrono::seconds{75};  // above the longest idle timeout
+    duration closed_lifetime = std::chrono::seconds{5}; // repeats of the last packets still pass
+    std::uint32_t waiting_weight = 1000; // load of one request in progress, for each slot
+    std::uint32_t open_weight = 150;     // load of one open flow: it may ask again at any time
+    std::uint32_t cold_weight = 1500;    // load that a cold upstream shows, for each slot
+    std::size_t max_flows = 20000;
+};
+
+// Delivers a caller's packet to the upstream.
+struct deliver_packet {
+    std::string packet;
+};
+struct answer_caller {
+    endpoint caller;
+    std::string packet;
+};
+struct pass_on_packet {
+    endpoint agent;
+    carried_packet message;
+};
+struct notify_balancer {
+    endpoint balancer;
+    flow_notice notice;
+};
+// The flow is over for certain: its upstream's life ended, or the upstream itself says so.
+struct reset_flow {
+    packet_flow flow;
+    std::uint32_t sequence = 0; // of the next byte that the caller expects
+};
+using agent_action =
+    std::variant<deliver_packet, answer_caller, pass_on_packet, notify_balancer, reset_flow>;
+
+// Why a decision fell as it did, for counters and logs.
+enum class flow_event : std::uint8_t {
+    placed,
+    passed_on,
+    delivered,
+    tried,    // the table may be incomplete, so the upstream is asked
+    not_held, // the upstream returned it, or the table is complete
+    refused,  // no candidate took the new flow
+    other_service,
+    unanswered, // the upstream did not answer an opening packet
+    lost_flow,  // the upstream no longer holds a flow that it had
+    table_full,
+};
+char const* to_string(flow_event event);
+
+struct agent_output {
+    std::vector<agent_action> actions;
+    std::vector<std::pair<flow_event, packet_flow>> events;
+};
+
+class upstream_flows {
+  public:
+    upstream_flows(upstream_flows_options options, time_point started);
+
+    agent_output on_carried(time_point now, packet_head const& head, carried_packet message);
+    // A packet that the upstream sent; returned ones are given without their mark.
+    agent_output on_upstream_packet(time_point now, packet_head const& head, std::string packet);
+    // The upstream's life ended: every flow is over.
+    agent_output on_life_ended(time_point now);
+    agent_output on_tick(time_point now);
+    // What the upstream says of itself.
+    void set_upstream(std::uint32_t slots, bool takes_new, time_point warm_at);
+
+    [[nodiscard]] load_level load(time_point now) const;
+    [[nodiscard]] std::size_t open_flows() const { return open_; }
+    [[nodiscard]] std::size_t waiting_flows() const { return waiting_; }
+    // When on_tick() has something to do next.
+    [[nodiscard]] std::optional<time_point> next_due() const;
+
+  private:
+    enum class flow_phase : std::uint8_t { opening, tried, open, closed };
+    struct flow {
+        flow_phase phase = flow_phase::opening;
+        bool waiting = false; // the caller's last data is not answered yet
+        bool caller_finished = false;
+        bool upstream_finished = false;
+        endpoint origin; // the balancer that brought it last
+        time_point last_seen{};
+        std::uint32_t caller_expects = 0;      // next sequence number towards the caller
+        std::optional<carried_packet> opening; // while phase is opening: what to pass on
+        time_point open_deadline{};
+    };
+
+    void open_flow(time_point now, packet_head const& head, carried_packet message);
+    void take(time_point now, packet_head const& head, carried_packet message);
+    void pass_on(packet_head const& head, carried_packet message);
+    void deliver(time_point now, packet_head const& head, flow& known, carried_packet message);
+    void on_returned(time_point now, packet_head const& head, std::string packet);
+    void note_caller_packet(time_point now, packet_head const& head, flow& known);
+    void note_upstream_packet(time_point now, packet_head const& head, flow& known);
+    void set_phase(flow& known, flow_phase phase);
+    void set_waiting(flow& known, bool waiting);
+    void erase(packet_flow const& key);
+    void report(endpoint balancer, flow_report what, packet_flow const& flow, std::string packet);
+    void note(flow_event event, packet_flow const& flow);
+    void sweep(time_point now);
+    [[nodiscard]] bool takes_new(time_point now) const;
+    [[nodiscard]] bool may_be_incomplete(time_point now) const;
+    agent_output finish();
+
+    upstream_flows_options options_;
+    time_point started_;
+    std::uint32_t slots_ = 1; // never 0
+    bool takes_new_ = false;
+    time_point warm_at_{};
+    // Nothing came from the upstream since this opening packet went unanswered.
+    std::optional<time_point> unresponsive_since_;
+    absl::flat_hash_map<packet_flow, flow> flows_;
+    std::vector<packet_flow> opening_; // keys whose phase may be opening, oldest first
+    std::size_t open_ = 0;             // flows in phase open
+    std::size_t waiting_ = 0;          // flows whose `waiting` is set
+    time_point next_sweep_{};
+    agent_output output_;
+};
+
+} // namespace toucanusher
--- a/include/toucanusher/process/clock.h
+++ b/include/toucanusher/process/clock.h
@@ -2,6 +2,8 @@
 // only the threads that drive them read a clock.
 #pragma once
 
+#include <ctime>
+
 #include <chrono>
 
 namespace toucanusher {
@@ -19,10 +21,18 @@
     [[nodiscard]] virtual time_point now() const = 0;
 };
 
-// The machine's monotonic clock.
+// Time since the machine's start, with the time that it was suspended: the steady clock stands
+// still meanwhile, and a lease or a leadership must not outlive a suspension unnoticed.
+inline time_point boot_time() {
+    timespec at{};
+    ::clock_gettime(CLOCK_BOOTTIME, &at);
+    return time_point{std::chrono::seconds{at.tv_sec} + std::chrono::nanoseconds{at.tv_nsec}};
+}
+
+// The machine's clock for intervals.
 class monotonic_clock final : public clock {
   public:
-    [[nodiscard]] time_point now() const override { return std::chrono::steady_clock::now(); }
+    [[nodiscard]] time_point now() const override { return boot_time(); }
 };
 
 // A clock that moves only when told to, for tests and experiments. Not thread safe.
--- a/include/toucanusher/process/fair_ring.h
+++ b/include/toucanusher/process/fair_ring.h
@@ -41,10 +41,10 @@
         return take(lock);
     }
 
-    // As pop(), but gives up at `deadline` of the monotonic clock.
+    // As pop(), but gives up at `deadline` of the boot-time clock.
     std::optional<T> pop_until(time_point deadline) {
         std::unique_lock lock(mutex_);
-        filled_.wait_until(lock, deadline, [this] { return size_ > 0 || closed_; });
+        filled_.wait_for(lock, deadline - boot_time(), [this] { return size_ > 0 || closed_; });
         return take(lock);
     }
 
--- /dev/null
+++ b/include/toucanusher/process/host_roster.h
@@ -0,0 +1,45 @@
+// What a control host has heard of the others: identities, addresses and when they last spoke.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "toucanusher/process/clock.h"
+#include "toucanusher/process/host_plan.h"
+#include "toucanusher/process/log_types.h"
+
+namespace toucanusher {
+
+class host_roster {
+  public:
+    // A message of `host` came from `where`.
+    void heard(time_point now, host_id host, endpoint where);
+    // Addresses at which hosts may be found: from settings files or other hosts.
+    void set_seeds(std::vector<endpoint> seeds);
+    void learn(std::map<host_id, endpoint> const& hosts);
+    // Starts silence anew, for a host that begins to lead.
+    void restart(time_point now, log_members const& members);
+
+    [[nodiscard]] std::optional<endpoint> address_of(host_id host,
+                                                     log_members const& members) const;
+    // Every address that may answer, without `self`.
+    [[nodiscard]] std::set<endpoint> contacts(endpoint self, log_members const& members) const;
+    // Known hosts with how long they are silent; `caught_up` is left to the caller.
+    [[nodiscard]] std::vector<host_sight> sights(time_point now) const;
+
+  private:
+    struct sight {
+        endpoint where;
+        time_point heard{};
+    };
+
+    static constexpr std::size_t max_learned = 64; // addresses
+
+    std::map<host_id, sight> seen_;
+    std::vector<endpoint> seeds_;
+    std::set<endpoint> learned_; // at most max_learned
+};
+
+} // namespace toucanusher
--- a/include/toucanusher/process/log_types.h
+++ b/include/toucanusher/process/log_types.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "toucanusher/process/endpoint.h"
 #include "toucanusher/process/ids.h"
 
 namespace toucanusher {
@@ -18,6 +20,8 @@
 struct log_members {
     std::vector<host_id> voters;
     std::vector<host_id> learners;
+    // Where links reach a host; hosts named in settings files may be missing here.
+    std::map<host_id, endpoint> addresses;
 
     friend bool operator==(log_members const&, log_members const&) = default;
 };
--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -12,7 +12,10 @@
 #include <variant>
 #include <vector>
 
+#include "toucanusher/process/host_plan.h"
+#include "toucanusher/process/host_roster.h"
 #include "toucanusher/process/replicated_log.h"
+#include "toucanusher/version/configuration_queue.h"
 #include "toucanusher/version/control_message.h"
 #include "toucanusher/version/fleet_state.h"
 #include "toucanusher/version/lease_keeper.h"
@@ -35,6 +38,16 @@
     std::size_t max_waiting_operators = 1024;
     log_index entries_per_snapshot = 4096;
     std::function<wall_time()> wall_clock; // stamps changes of membership; must be set
+    // Set: hosts find each other, join and are replaced without an operator.
+    std::optional<host_plan_options> automatic_hosts;
+    endpoint self_address;                                             // of this host's links
+    duration join_interval = std::chrono::milliseconds{250};           // between join requests
+    duration plan_interval = std::chrono::milliseconds{100};           // between looks at the hosts
+    duration leaderless_before_join = std::chrono::milliseconds{1200}; // longer than an election
+    // A caller moves on after a second; the answer must come before.
+    duration configuration_patience = std::chrono::milliseconds{850};
+    // A new fleet accepts nothing before it has its voters, unless no more come within this time.
+    duration formation_patience = std::chrono::seconds{6};
 };
 
 struct send_to_host {
@@ -45,8 +58,14 @@
     client_id client{};
     control_message message;
 };
+struct send_to_address {
+    endpoint where;
+    control_message message;
+};
 struct control_output {
     std::vector<send_to_host> to_hosts;
+    std::vector<send_to_address> to_addresses;
+    std::vector<configuration_answer> configurations;
     std::vector<send_to_client> to_clients;
     std::vector<disk_write> writes;
     std::vector<control_refusal> refusals; // to be counted
@@ -65,6 +84,14 @@
     control_output on_operator(time_point now, client_id client, std::string const& team,
                                operator_request request);
 
+    // `call` is echoed in the answer. The candidate is valid.
+    control_output on_configuration(time_point now, std::uint64_t call, configuration candidate);
+    control_output on_configuration_read(time_point now, std::uint64_t call);
+    // A message of another host came from `where`.
+    void note_host(time_point now, host_id host, endpoint where);
+    void set_seeds(std::vector<endpoint> seeds) { roster_.set_seeds(std::move(seeds)); }
+    [[nodiscard]] std::optional<endpoint> address_of(host_id host) const;
+
     [[nodiscard]] replicated_log const& log() const { return log_; }
     [[nodiscard]] fleet_state const& state() const { return *state_; }
     [[nodiscard]] std::size_t client_count() const { return clients_.size(); }
@@ -74,6 +101,7 @@
         std::string name;
         daemon_role role = daemon_role::balancer;
         std::uint64_t process = 0;
+        bool follows_state = true;
         version_number applied{};
         version_number sent{};
         time_point heard{};
@@ -88,9 +116,13 @@
         log_term term = 0;
         bool changes_hosts = false;
     };
+    struct configuration_reader {
+        std::uint64_t call = 0;
+        time_point deadline{};
+    };
     struct waiting_read {
         std::variant<std::pair<client_id, operator_request>, std::pair<host_id, std::uint64_t>,
-                     client_id>
+                     client_id, configuration_reader>
             asker;
         std::optional<log_index> index; // set once leadership is confirmed
     };
@@ -113,6 +145,15 @@
     void send_reports(time_point now);
     void take_report(time_point now, daemon_report const& report);
     void expire_members(time_point now);
+    void serve_configurations(time_point now);
+    void propose_configuration(time_point now);
+    void expire_configuration_reads(time_point now);
+    [[nodiscard]] bool accepts_configurations(time_point now) const;
+    configuration_answer send_elsewhere(std::uint64_t call) const;
+    void plan_members(time_point now);
+    void ask_to_join(time_point now);
+    void on_join_request(time_point now, host_id from, join_request const& request);
+    [[nodiscard]] std::vector<endpoint> host_addresses() const;
     void answer_reads(time_point now);
     void answer_read(time_point now, waiting_read const& read);
     void confirm_client(time_point now, client_id id, client& asker);
@@ -142,7 +183,12 @@
     std::map<std::string, reported_daemon> daemons_; // by name; what this host knows of all
     std::map<std::string, time_point> suggested_;    // encoded command -> when last proposed
     std::vector<daemon_report> unreported_;
+    host_roster roster_;
+    configuration_queue configurations_;
     bool led_ = false;
+    time_point led_since_{};
+    time_point next_join_{};
+    time_point next_plan_{};
     time_point next_report_{};
     time_point next_push_{};
     control_output output_;
--- a/include/toucanusher/version/control_message.h
+++ b/include/toucanusher/version/control_message.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -31,6 +32,7 @@
     std::optional<balancer_record> balancer;
     bool balancer_leaves = false;
     std::vector<release_buckets> releases;
+    bool follows_state = true; // false: needs no updates, only the control hosts' addresses
 
     friend bool operator==(heartbeat const&, heartbeat const&) = default;
 };
@@ -43,6 +45,7 @@
     std::optional<std::string> snapshot;        // encoded state; replaces base and commands
     std::optional<duration> leader_age;         // since the sender was in touch with a leader
     std::optional<std::uint64_t> confirmed_for; // process that asked; `newest` is fresh for it
+    std::vector<endpoint> control_hosts; // present ones, for the next time the sender is silent
 
     friend bool operator==(state_update const&, state_update const&) = default;
 };
@@ -187,14 +190,26 @@
     log_index index = 0;
 };
 
-// Between control hosts: an encoded message with its sender's number, which the seal covers.
+// Sent by a control host that hears no leader, to every address it knows: asks to be a member, and
+// tells where it can be reached. Passed on to the leader.
+struct join_request {
+    host_id host{};
+    endpoint where;
+};
+// Answers a join request with what the asked host knows.
+struct host_directory {
+    std::map<host_id, endpoint> hosts;
+};
+
+// Between control hosts: an encoded message with its sender, which the seal covers.
 struct host_message {
     host_id from{};
+    endpoint where; // the sender's link address
     std::string content;
 };
 
-using control_message =
-    std::variant<heartbeat, state_update, operator_request, operator_reply, log_message,
-                 forwarded_commands, lease_report, index_query, index_answer, host_message>;
+using control_message = std::variant<heartbeat, state_update, operator_request, operator_reply,
+                                     log_message, forwarded_commands, lease_report, index_query,
+                                     index_answer, host_message, join_request, host_directory>;
 
 } // namespace toucanusher
--- a/include/toucanusher/version/fleet_command.h
+++ b/include/toucanusher/version/fleet_command.h
@@ -8,6 +8,7 @@
 #include "toucanusher/process/clock.h"
 #include "toucanusher/version/claim.h"
 #include "toucanusher/version/membership.h"
+#include "toucanusher/version/route_book.h"
 
 namespace toucanusher {
 
@@ -49,7 +50,8 @@
     friend bool operator==(release_buckets const&, release_buckets const&) = default;
 };
 
-using fleet_command = std::variant<write_claim, withdraw_claim, announce_upstream, forget_upstream,
-                                   announce_balancer, forget_balancer, release_buckets>;
+using fleet_command =
+    std::variant<write_claim, withdraw_claim, announce_upstream, forget_upstream, announce_balancer,
+                 forget_balancer, release_buckets, edit_configuration>;
 
 } // namespace toucanusher
--- a/include/toucanusher/version/fleet_state.h
+++ b/include/toucanusher/version/fleet_state.h
@@ -50,6 +50,9 @@
         return balancers_;
     }
 
+    // The routes in force. Never null.
+    [[nodiscard]] std::shared_ptr<configuration const> const& routes() const { return routes_; }
+
     // Contents for a snapshot.
     struct contents {
         version_number version{};
@@ -62,6 +65,7 @@
         std::vector<upstream_record> upstreams;
         std::map<std::pair<std::string, std::string>, upstream_id> upstream_ids;
         std::vector<balancer_record> balancers;
+        configuration routes;
     };
     [[nodiscard]] contents save() const;
     // False, with the state unchanged, if the contents break an invariant.
@@ -75,6 +79,7 @@
     std::optional<claim_result> run(announce_balancer const& command);
     std::optional<claim_result> run(forget_balancer const& command);
     std::optional<claim_result> run(release_buckets const& command);
+    std::optional<claim_result> run(edit_configuration const& command);
     service_record& ensure_service(std::string const& name);
     claim_book& edit_claims();
     void refresh_settings(std::string const& service);
@@ -92,6 +97,7 @@
     std::map<upstream_id, upstream_record> upstreams_;   // at most one life each
     std::map<std::pair<std::string, std::string>, upstream_id> upstream_ids_; // (service, name)
     std::map<std::string, balancer_record> balancers_;
+    std::shared_ptr<configuration const> routes_; // never null; its number never decreases
 };
 
 // How much new work an upstream takes: its slots, cut down while it starts cold or leaves.
--- a/include/toucanusher/version/membership.h
+++ b/include/toucanusher/version/membership.h
@@ -21,6 +21,9 @@
     std::uint32_t slots = 1;
     std::uint32_t ready_percent = 100; // below 100 while it starts cold; 0 takes no new work
     bool draining = false;
+    // The upstream itself tells which flows it holds, so its agent needs no buckets or witnesses:
+    // flows are placed by load and found by asking.
+    bool knows_flows = false;
 
     friend bool operator==(upstream_announcement const&, upstream_announcement const&) = default;
 };
--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -1,5 +1,6 @@
 #include "programs/control_process.h"
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -9,11 +10,12 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "programs/control_links.h"
+#include "src/process/io/host_identity.h"
 #include "src/process/io/link.h"
 #include "src/process/io/log_store.h"
 #include "src/version/control_codec.h"
 #include "src/version/state_codec.h"
-#include "toucanusher/connection/link_monitor.h"
 #include "toucanusher/process/ring.h"
 #include "toucanusher/version/control_host.h"
 
@@ -22,10 +24,14 @@
 namespace {
 
 constexpr std::size_t event_ring = 8192;
-constexpr std::size_t disk_ring = 1024;
+constexpr std::size_t disk_ring = 4096;
 constexpr std::size_t max_operator_connections = 4096; // whose keys are remembered
 constexpr duration tick = std::chrono::milliseconds{10};
-constexpr duration peer_silence = std::chrono::milliseconds{600};
+// A full or faulty disk is tried again after this; meanwhile this host promises nothing.
+constexpr duration disk_retry_interval = std::chrono::milliseconds{250};
+// A process that competes with others for part of a core can stall for a tenth of a second.
+constexpr duration automatic_heartbeat = std::chrono::milliseconds{100};
+constexpr duration automatic_election = std::chrono::milliseconds{600};
 
 struct received_bytes {
     link_peer peer{};
@@ -34,55 +40,62 @@
 struct synced {
     std::uint64_t sequence = 0;
 };
-using control_event = std::variant<received_bytes, synced>;
+struct configuration_write {
+    configuration candidate;
+    configuration_responder respond;
+};
+struct configuration_read {
+    configuration_responder respond;
+};
+struct new_seeds {
+    std::vector<endpoint> links;
+};
+using control_event =
+    std::variant<received_bytes, synced, configuration_write, configuration_read, new_seeds>;
 
 class control_process final : public daemon_process {
   public:
-    explicit control_process(process_context& context)
-        : context_(context), events_(event_ring), writes_(disk_ring) {}
+    control_process(process_context& context, operator_api_hook operator_api)
+        : context_(context), operator_api_(std::move(operator_api)), events_(event_ring),
+          writes_(disk_ring), disk_pauses_(1), links_(context) {}
 
     ~control_process() override {
         admin_.reset();
+        api_.reset();
+        readiness_.reset();
         server_.reset();
-        peers_.clear();
         events_.close();
         decide_.reset();
         writes_.close();
+        disk_pauses_.close();
         disk_.reset();
     }
     control_process(control_process const&) = delete;
     control_process& operator=(control_process const&) = delete;
 
     absl::Status start(log_start how) {
-        auto store = log_store::open(context_.config.data_folder);
-        if (!store.ok())
-            return store.status();
-        store_ = *std::move(store);
+        if (auto const status = open_store(); !status.ok())
+            return status;
         durable_log stored = store_->contents();
         if (auto const status = prepare(how, stored); !status.ok())
             return status;
         if (store_->dropped_bytes() > 0)
             context_.events->warning(
                 event_line("log_tail_dropped").add("bytes", store_->dropped_bytes()));
-        control_options options;
-        options.log.self = context_.config.id;
-        options.member_lease = context_.config.member_lease;
-        options.wall_clock = [] {
-            return std::chrono::time_point_cast<std::chrono::milliseconds>(
-                std::chrono::system_clock::now());
-        };
-        host_ = std::make_unique<control_host>(options, make_state_codec(), std::move(stored),
-                                               context_.clock.now(), make_system_random());
-        if (auto const status = open_links(); !status.ok())
+        host_ =
+            std::make_unique<control_host>(make_options(), make_state_codec(), std::move(stored),
+                                           context_.clock.now(), make_system_random());
+        host_->set_seeds(seed_links(context_.config));
+        if (auto const status = open_server(); !status.ok())
             return status;
         disk_ = std::make_unique<duty>("disk", [this] { sync_writes(); });
         decide_ = std::make_unique<duty>("decide", [this] { run(); });
-        auto admin = open_admin(
-            context_, [this] { return has_leader_.load(); }, [this] { return status(); });
-        if (!admin.ok())
-            return admin.status();
-        admin_ = *std::move(admin);
-        return absl::OkStatus();
+        return open_http();
+    }
+
+    void set_seeds(std::vector<endpoint> seeds) override {
+        if (!events_.try_push(new_seeds{std::move(seeds)}))
+            context_.counters.count_refusal("control", "ring_full");
     }
 
     void begin_stop() override {
@@ -93,14 +106,74 @@
     [[nodiscard]] std::string unfinished_work() const override { return "nothing"; }
 
   private:
-    struct peer_link {
-        std::unique_ptr<link_client> link;
-        link_monitor monitor;
-    };
+    absl::Status open_store() {
+        std::string const& folder = context_.config.data_folder;
+        auto store = log_store::open(folder);
+        if (!store.ok() && absl::IsDataLoss(store.status()) && context_.config.automatic) {
+            // What this disk promised is lost, so its identity may not speak again.
+            context_.events->error(
+                event_line("disk_damaged").add("reason", store.status().ToString()));
+            if (auto const status = log_store::discard(folder); !status.ok())
+                return status;
+            store = log_store::open(folder);
+        }
+        if (!store.ok())
+            return store.status();
+        store_ = *std::move(store);
+        if (!context_.config.automatic)
+            return absl::OkStatus();
+        auto const identity = load_host_identity(folder, make_system_random());
+        if (!identity.ok())
+            return identity.status();
+        context_.config.id = *identity;
+        return absl::OkStatus();
+    }
+
+    control_options make_options() const {
+        control_options options;
+        options.log.self = context_.config.id;
+        options.member_lease = context_.config.member_lease;
+        options.wall_clock = [] {
+            return std::chrono::time_point_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now());
+        };
+        if (auto const& automatic = context_.config.automatic) {
+            options.automatic_hosts.emplace();
+            options.automatic_hosts->voters = 2 * automatic->tolerated_losses + 1;
+            options.self_address = automatic->listen;
+            options.log.heartbeat_interval = automatic_heartbeat;
+            options.log.election_timeout = automatic_election;
+        }
+        return options;
+    }
+
+    absl::Status prepare(log_start how, durable_log& stored) {
+        return context_.config.automatic ? found_automatically(stored)
+                                         : prepare_as_told(how, stored);
+    }
+
+    // The host at the lowest seed founds the fleet alone; the others join it. Nobody founds twice:
+    // a disk that was lost later is filled by joining.
+    absl::Status found_automatically(durable_log& stored) {
+        auto const& seeds = context_.config.seeds;
+        automatic_control const& own = *context_.config.automatic;
+        bool const founds = store_->was_empty() && own.may_found && !seeds.empty() &&
+                            *std::min_element(seeds.begin(), seeds.end()) == own.api;
+        context_.events->info(event_line("control_host")
+                                  .add("id", value_of(context_.config.id))
+                                  .add("empty", store_->was_empty() ? 1 : 0)
+                                  .add("founds", founds ? 1 : 0));
+        if (!founds)
+            return absl::OkStatus();
+        log_members& members = stored.snapshot.members;
+        members.voters = {context_.config.id};
+        members.addresses[context_.config.id] = own.listen;
+        return write_members(stored);
+    }
 
     // A host that lost its disk must not vote again under its old number, so an empty folder needs
     // an explicit word.
-    absl::Status prepare(log_start how, durable_log& stored) {
+    absl::Status prepare_as_told(log_start how, durable_log& stored) {
         bool const empty = store_->was_empty();
         if (how == log_start::existing && empty)
             return absl::FailedPreconditionError(
@@ -113,33 +186,66 @@
             return absl::OkStatus();
         for (auto const& [id, where] : context_.config.control_hosts)
             stored.snapshot.members.voters.push_back(id);
+        return write_members(stored);
+    }
+
+    absl::Status write_members(durable_log const& stored) {
         disk_write first;
         first.snapshot = stored.snapshot;
         return store_->append({first});
     }
 
-    absl::Status open_links() {
-        auto server =
-            link_server::open(context_.config.control_hosts.at(context_.config.id),
-                              [this](link_peer peer, std::string bytes) {
-                                  if (!events_.try_push(received_bytes{peer, std::move(bytes)}))
-                                      context_.counters.count_refusal("control", "ring_full");
-                              });
+    [[nodiscard]] endpoint own_address() const {
+        return context_.config.automatic ? context_.config.automatic->listen
+                                         : context_.config.control_hosts.at(context_.config.id);
+    }
+
+    absl::Status open_server() {
+        auto server = link_server::open(own_address(), [this](link_peer peer, std::string bytes) {
+            if (!events_.try_push(received_bytes{peer, std::move(bytes)}))
+                context_.counters.count_refusal("control", "ring_full");
+        });
         if (!server.ok())
             return server.status();
         server_ = *std::move(server);
-        for (auto const& [id, where] : context_.config.control_hosts) {
-            if (id == context_.config.id)
-                continue;
-            auto link = link_client::open(where, [](std::string const&) {});
-            if (!link.ok())
-                return link.status();
-            peers_.emplace(id, peer_link{*std::move(link),
-                                         link_monitor({peer_silence, 1}, context_.clock.now())});
-        }
         return absl::OkStatus();
     }
 
+    absl::Status open_http() {
+        auto admin = open_admin(
+            context_, [this] { return has_leader_.load(); }, [this] { return status(); });
+        if (!admin.ok())
+            return admin.status();
+        admin_ = *std::move(admin);
+        if (!context_.config.automatic)
+            return absl::OkStatus();
+        operator_calls const calls{
+            [this](configuration candidate, configuration_responder respond) {
+                push_call(configuration_write{std::move(candidate), respond}, respond);
+            },
+            [this](configuration_responder respond) {
+                push_call(configuration_read{respond}, respond);
+            },
+            [this] { return has_leader_.load(); }};
+        automatic_control const& own = *context_.config.automatic;
+        auto api = http_server::open(own.api, operator_api_(calls, own.api.port));
+        if (!api.ok())
+            return api.status();
+        api_ = *std::move(api);
+        auto readiness = http_server::open(own.readiness, operator_api_(calls, own.api.port));
+        if (!readiness.ok())
+            return readiness.status();
+        readiness_ = *std::move(readiness);
+        return absl::OkStatus();
+    }
+
+    void push_call(control_event event, configuration_responder const& respond) {
+        if (events_.try_push(std::move(event)))
+            return;
+        context_.counters.count_refusal("control", "ring_full");
+        respond({});
+    }
+
     void run() {
         time_point next_tick = context_.clock.now();
         while (!events_.finished()) {
@@ -151,6 +257,7 @@
                 continue;
             next_tick = now + tick;
             carry_out(host_->on_tick(now));
+            links_.on_tick(now);
             note_leadership();
         }
     }
@@ -159,6 +266,24 @@
         carry_out(host_->on_synced(now, done.sequence));
     }
 
+    void on_event(time_point now, configuration_write const& write) {
+        std::uint64_t const call = next_call_++;
+        calls_[call] = write.respond;
+        context_.events->info(event_line("configuration_offered")
+                                  .add("call", call)
+                                  .add("number", write.candidate.number)
+                                  .add("in_force", host_->state().routes()->number));
+        carry_out(host_->on_configuration(now, call, write.candidate));
+    }
+
+    void on_event(time_point now, configuration_read const& read) {
+        std::uint64_t const call = next_call_++;
+        calls_[call] = read.respond;
+        carry_out(host_->on_configuration_read(now, call));
+    }
+
+    void on_event(time_point /*now*/, new_seeds const& seeds) { host_->set_seeds(seeds.links); }
+
     void on_event(time_point now, received_bytes const& received) {
         auto opened = context_.sealer->open(received.bytes);
         if (auto const* refusal = std::get_if<seal_refusal>(&opened)) {
@@ -200,8 +325,8 @@
             context_.counters.count_refusal("control", "malformed");
             return;
         }
-        if (auto const peer = peers_.find(envelope->from); peer != peers_.end())
-            peer->second.monitor.heard(now);
+        links_.heard(envelope->where);
+        host_->note_host(now, envelope->from, envelope->where);
         carry_out(host_->on_host_message(now, envelope->from, *std::move(inner)));
     }
 
@@ -212,16 +337,45 @@
             // Without its disk this host can promise nothing more.
             fail("disk_ring_full", "the disk is too slow");
         }
-        for (send_to_host const& out : output.to_hosts) {
-            auto const peer = peers_.find(out.host);
-            if (peer == peers_.end())
-                continue;
-            host_message const wrapped{context_.config.id, encode_control_message(out.message)};
-            if (!peer->second.link->send(context_.sealer->seal(encode_control_message(wrapped))))
-                context_.counters.count_refusal("control", "link_send_failed");
-        }
+        for (send_to_host const& out : output.to_hosts)
+            if (auto const where = find_address(out.host))
+                send_to_peer(*where, out.message);
+        for (send_to_address const& out : output.to_addresses)
+            send_to_peer(out.where, out.message);
         for (send_to_client const& out : output.to_clients)
             send_to(out);
+        for (configuration_answer const& answer : output.configurations)
+            answer_call(answer);
+    }
+
+    [[nodiscard]] std::optional<endpoint> find_address(host_id host) const {
+        if (auto const where = host_->address_of(host))
+            return where;
+        auto const named = context_.config.control_hosts.find(host);
+        return named == context_.config.control_hosts.end() ? std::nullopt
+                                                            : std::optional{named->second};
+    }
+
+    void send_to_peer(endpoint where, control_message const& message) {
+        host_message const wrapped{context_.config.id, own_address(),
+                                   encode_control_message(message)};
+        links_.send(context_.clock.now(), where,
+                    context_.sealer->seal(encode_control_message(wrapped)));
+    }
+
+    void answer_call(configuration_answer const& answer) {
+        auto const waiting = calls_.find(answer.call);
+        if (waiting == calls_.end())
+            return;
+        if (answer.verdict != configuration_verdict::current)
+            context_.events->info(event_line("configuration_answered")
+                                      .add("call", answer.call)
+                                      .add("verdict", to_string(answer.verdict))
+                                      .add("in_force", host_->state().routes()->number)
+                                      .add("term", host_->log().term()));
+        configuration_responder const respond = std::move(waiting->second);
+        calls_.erase(waiting);
+        respond(answer);
     }
 
     void send_to(send_to_client const& out) {
@@ -243,17 +397,33 @@
             while (writes_.size() > 0)
                 if (auto more = writes_.pop())
                     std::move(more->begin(), more->end(), std::back_inserter(all));
-            auto const status = store_->append(all);
-            if (!status.ok()) {
-                fail("disk_failed", status.ToString());
+            if (!append_until_done(all))
                 return;
-            }
             context_.counters.count("disk_syncs");
             if (!events_.try_push(synced{all.back().sequence}))
                 context_.counters.count_refusal("control", "ring_full");
         }
     }
 
+    // A disk that refuses is tried again: the other hosts go on meanwhile, and what was not synced
+    // is never confirmed. False once the process stops.
+    bool append_until_done(std::vector<disk_write> const& writes) {
+        absl::Status status = store_->append(writes);
+        if (status.ok())
+            return true;
+        context_.events->error(event_line("disk_failed").add("reason", status.ToString()));
+        while (!status.ok()) {
+            (void)disk_pauses_.pop_until(context_.clock.now() + disk_retry_interval);
+            if (disk_pauses_.finished())
+                return false;
+            status = store_->recover();
+            if (status.ok())
+                status = store_->append(writes);
+        }
+        context_.events->info(event_line("disk_recovered"));
+        return true;
+    }
+
     void fail(char const* event, std::string const& reason) {
         context_.events->error(event_line(event).add("reason", reason));
         context_.on_stopped();
@@ -271,13 +441,6 @@
             context_.events->info(
                 event_line(leads ? "leads" : "follows").add("term", term_.load()));
         leads_ = leads;
-        time_point const now = context_.clock.now();
-        for (auto& [id, peer] : peers_) {
-            if (peer.monitor.on_tick(now) == link_step::keep)
-                continue;
-            peer.link->reconnect();
-            context_.counters.count("link_replaced");
-        }
     }
 
     [[nodiscard]] std::string status() const {
@@ -287,12 +450,18 @@
     }
 
     process_context& context_;
+    operator_api_hook operator_api_;
     ring<control_event> events_;
     ring<std::vector<disk_write>> writes_;
+    ring<bool> disk_pauses_;             // stays empty; closed to end a pause of the disk duty
+    control_links links_;                // only the decide duty touches it
     std::unique_ptr<log_store> store_;   // after start() only the disk duty touches it
     std::unique_ptr<control_host> host_; // after start() only the decide duty touches it
     std::unique_ptr<link_server> server_;
-    std::map<host_id, peer_link> peers_;
+    std::unique_ptr<http_server> api_;
+    std::unique_ptr<http_server> readiness_;
+    std::map<std::uint64_t, configuration_responder> calls_; // open ones, by number
+    std::uint64_t next_call_ = 1;
     std::map<client_id, std::string> client_keys_; // operators' keys, by connection
     std::unique_ptr<http_server> admin_;
     std::atomic<bool> has_leader_{false};
@@ -305,9 +474,9 @@
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<daemon_process>> make_control_process(process_context& context,
-                                                                     log_start start) {
-    auto process = std::make_unique<control_process>(context);
+absl::StatusOr<std::unique_ptr<daemon_process>>
+make_control_process(process_context& context, log_start start, operator_api_hook api) {
+    auto process = std::make_unique<control_process>(context, std::move(api));
     if (auto const status = process->start(start); !status.ok())
         return status;
     return process;
--- a/programs/control_process.h
+++ b/programs/control_process.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "programs/front_end.h"
 #include "programs/process_context.h"
 
 namespace toucanusher {
@@ -13,7 +14,7 @@
     join,        // the folder is empty; an operator adds this host to a running log
 };
 
-absl::StatusOr<std::unique_ptr<daemon_process>> make_control_process(process_context& context,
-                                                                     log_start start);
+absl::StatusOr<std::unique_ptr<daemon_process>>
+make_control_process(process_context& context, log_start start, operator_api_hook api);
 
 } // namespace toucanusher
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -1,5 +1,6 @@
 #include "programs/control_session.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -21,7 +22,10 @@
       follower_(make_state_codec(), context.process), monitor_({}, context.clock.now()),
       heard_(time_point{}) {
     for (auto const& [id, where] : context.config.control_hosts)
-        hosts_.push_back(where);
+        seeds_.push_back(where);
+    for (endpoint const& where : seed_links(context.config))
+        seeds_.push_back(where);
+    hosts_ = seeds_;
     // Daemons spread over the control hosts by their names.
     host_ = std::hash<std::string>{}(context.config.name) % hosts_.size();
     duty_ = std::make_unique<duty>("control-link", [this] { run(); });
@@ -52,6 +56,11 @@
                                                                  heard_.load());
 }
 
+void control_session::set_seeds(std::vector<endpoint> seeds) {
+    std::lock_guard const lock(mutex_);
+    seeds_ = std::move(seeds);
+}
+
 void control_session::close() {
     events_.close();
     if (duty_)
@@ -106,7 +115,7 @@
     beat.role = role_;
     beat.process = context_.process;
     beat.applied = follower_.version();
-    beat.wants_confirmation = !follower_.confirmed();
+    beat.wants_confirmation = beat.follows_state && !follower_.confirmed();
     std::string const sealed = context_.sealer->seal(encode_control_message(beat));
     if (!link_ || !link_->send(sealed))
         context_.counters.count_refusal("control", "link_send_failed");
@@ -127,6 +136,8 @@
         context_.counters.count_refusal("control", "malformed");
         return;
     }
+    if (!update->control_hosts.empty() && update->control_hosts != named_)
+        refresh_hosts(update->control_hosts);
     version_number const before = follower_.version();
     update_outcome const outcome = follower_.on_update(now, *update);
     if (outcome == update_outcome::malformed)
@@ -154,9 +165,29 @@
     context_.events->limited(event_line("control_silent")
                                  .add("host", to_string(hosts_[host_]))
                                  .add("step", step == link_step::replace ? "replace" : "next"));
-    if (step == link_step::next_peer)
+    if (step == link_step::next_peer) {
+        refresh_hosts(named_);
         host_ = (host_ + 1) % hosts_.size();
+    }
     connect();
 }
 
+// Hosts that control names come first; seeds may be stale, but may also be all that is left.
+void control_session::refresh_hosts(std::vector<endpoint> named) {
+    if (!named.empty())
+        named_ = std::move(named);
+    std::vector<endpoint> hosts = named_;
+    std::lock_guard const lock(mutex_);
+    for (endpoint const& seed : seeds_)
+        if (std::find(hosts.begin(), hosts.end(), seed) == hosts.end())
+            hosts.push_back(seed);
+    endpoint const current = hosts_[host_];
+    auto const at = std::find(hosts.begin(), hosts.end(), current);
+    host_ = at == hosts.end() ? 0 : static_cast<std::size_t>(at - hosts.begin());
+    if (at == hosts.end()) {
+        hosts.insert(hosts.begin(), current);
+    }
+    hosts_ = std::move(hosts);
+}
+
 } // namespace toucanusher
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -41,6 +41,8 @@
     void release(release_buckets command);
     [[nodiscard]] version_number applied() const { return version_number{applied_.load()}; }
     [[nodiscard]] std::chrono::milliseconds silence() const;
+    // Control hosts to try besides those that control itself names.
+    void set_seeds(std::vector<endpoint> seeds);
     void close();
 
   private:
@@ -52,12 +54,13 @@
     void send_heartbeat(time_point now);
     void on_bytes(time_point now, std::string const& bytes);
     void take_step(link_step step);
+    void refresh_hosts(std::vector<endpoint> named);
 
     process_context& context_;
     daemon_role role_;
     news_hook on_news_;
-    std::vector<endpoint> hosts_; // never empty
-    std::size_t host_ = 0;
+    std::vector<endpoint> hosts_; // never empty; only the duty touches it
+    std::size_t host_ = 0;        // index of the one in use
     ring<event> events_;
     std::unique_ptr<link_client> link_; // only the duty touches it
     state_follower follower_;           // only the duty touches it
@@ -66,6 +69,8 @@
     std::mutex mutex_;
     heartbeat content_;                     // guarded by mutex_
     std::vector<release_buckets> releases_; // guarded by mutex_
+    std::vector<endpoint> seeds_;           // guarded by mutex_
+    std::vector<endpoint> named_;           // by control itself; only the duty touches it
     std::atomic<std::uint64_t> applied_{0};
     std::atomic<time_point> heard_;
     std::unique_ptr<duty> duty_;
--- a/programs/process_context.h
+++ b/programs/process_context.h
@@ -15,7 +15,7 @@
 
 struct process_context {
     daemon_config config;
-    std::unique_ptr<key_store> keys;
+    std::unique_ptr<key_store> keys; // null where links are not sealed
     std::unique_ptr<envelope> sealer;
     monotonic_clock clock;
     std::unique_ptr<event_log> events;
@@ -30,6 +30,8 @@
     virtual ~daemon_process() = default;
     // Starts a graceful stop; on_stopped is called when nothing is left to finish.
     virtual void begin_stop() = 0;
+    // The settings file names other seeds.
+    virtual void set_seeds(std::vector<endpoint> /*seeds*/) {}
     // What a stop right now would cut off, for the log.
     [[nodiscard]] virtual std::string unfinished_work() const = 0;
 };
--- a/programs/toucanusherd.cpp
+++ b/programs/toucanusherd.cpp
@@ -1,6 +1,7 @@
 // The daemon: one process of one role, from its settings file to its graceful stop.
 #include <popt.h>
 #include <pthread.h>
+#include <sys/stat.h>
 
 #include <csignal>
 #include <cstdio>
@@ -8,10 +9,15 @@
 #include <ctime>
 #include <memory>
 #include <string>
+#include <tuple>
+#include <utility>
 
+#include "platform/calls.h"
 #include "programs/agent_process.h"
 #include "programs/balancer_process.h"
 #include "programs/control_process.h"
+#include "programs/packet_agent.h"
+#include "programs/packet_balancer.h"
 #include "programs/process_context.h"
 #include "programs/version_text.h"
 
@@ -24,6 +30,8 @@
 constexpr int exit_usage = 2;
 constexpr int exit_cut_off = 3; // stopped before everything was finished
 constexpr int stopped_signal = SIGUSR1;
+// A settings file may change without a signal; a stale seed costs nothing for this long.
+constexpr std::chrono::seconds watch_interval{1};
 
 struct arguments {
     std::string config;
@@ -45,13 +53,16 @@
 
 absl::StatusOr<std::unique_ptr<daemon_process>> make_process(process_context& context,
                                                              log_start start) {
+    front_end const front = platform::make_front_end();
     switch (context.config.role) {
     case process_role::balancer:
-        return make_balancer_process(context);
+        return context.config.packets ? make_packet_balancer(context, front)
+                                      : make_balancer_process(context);
     case process_role::agent:
-        return make_agent_process(context);
+        return context.config.packets ? make_packet_agent(context, front)
+                                      : make_agent_process(context);
     case process_role::control:
-        return make_control_process(context, start);
+        return make_control_process(context, start, front.operator_api);
     }
     return absl::InternalError("no such role");
 }
@@ -66,6 +77,8 @@
 }
 
 void reload_keys(process_context& context) {
+    if (!context.keys)
+        return;
     auto keys = keyring::load(context.config.key_file);
     if (!keys.ok()) {
         context.events->error(
@@ -76,14 +89,56 @@
     context.events->info(event_line("keys_reloaded"));
 }
 
+// Only seeds can change while a process runs; everything else is fixed by its addresses.
+void reload_seeds(process_context& context, daemon_process& process, std::string const& path) {
+    auto const fresh = load_daemon_config(path);
+    if (!fresh.ok()) {
+        context.events->error(
+            event_line("settings_not_reloaded").add("reason", fresh.status().ToString()));
+        return;
+    }
+    if (fresh->seeds == context.config.seeds)
+        return;
+    context.config.seeds = fresh->seeds;
+    process.set_seeds(seed_links(context.config));
+    context.events->info(event_line("settings_reloaded").add("seeds", fresh->seeds.size()));
+}
+
+// Tells when a settings file was last written, in any unit.
+class file_watch {
+  public:
+    explicit file_watch(std::string path) : path_(std::move(path)) { (void)changed(); }
+
+    bool changed() {
+        struct stat found {};
+        if (::stat(path_.c_str(), &found) != 0)
+            return false; // it is being replaced; the next look finds it
+        auto const seen =
+            std::tuple(found.st_mtim.tv_sec, found.st_mtim.tv_nsec, found.st_size, found.st_ino);
+        return std::exchange(last_, seen) != seen;
+    }
+
+  private:
+    std::string path_;
+    std::tuple<time_t, long, off_t, ino_t> last_{};
+};
+
 // Waits for signals until the process has stopped. Returns the exit code.
-int wait_until_stopped(process_context& context, daemon_process& process, sigset_t const& set) {
+int wait_until_stopped(process_context& context, daemon_process& process, sigset_t const& set,
+                       std::string const& settings) {
+    file_watch watch(settings);
     bool stopping = false;
     time_point deadline{};
     for (;;) {
         int number = 0;
         if (!stopping) {
-            sigwait(&set, &number);
+            timespec const wait{watch_interval.count(), 0};
+            number = sigtimedwait(&set, nullptr, &wait);
+            if (number < 0) {
+                if (watch.changed())
+                    reload_seeds(context, process, settings);
+                continue;
+            }
         } else {
             auto const left = std::max(duration{}, deadline - context.clock.now());
             auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(left);
@@ -96,6 +151,7 @@
         }
         if (number == SIGHUP) {
             reload_keys(context);
+            reload_seeds(context, process, settings);
         } else if (!stopping) {
             stopping = true;
             deadline = context.clock.now() + context.config.shutdown_deadline;
@@ -109,26 +165,37 @@
     }
 }
 
-int run(arguments const& given) {
-    auto config = load_daemon_config(given.config);
-    if (!config.ok()) {
-        std::fprintf(stderr, "%s\n", std::string(config.status().message()).c_str());
-        return exit_failed;
+bool load_keys(process_context& context) {
+    std::string const& path = context.config.key_file;
+    if (path.empty()) {
+        context.sealer = std::make_unique<envelope>();
+        return true;
     }
-    auto keys = keyring::load(config->key_file);
+    auto keys = keyring::load(path);
     if (!keys.ok()) {
         std::fprintf(stderr, "%s\n", std::string(keys.status().message()).c_str());
-        return exit_failed;
+        return false;
     }
     if (keys->current.empty() || !keys->steering) {
-        std::fprintf(stderr, "%s: needs [fleet] current and steering\n", config->key_file.c_str());
+        std::fprintf(stderr, "%s: needs [fleet] current and steering\n", path.c_str());
+        return false;
+    }
+    context.keys = std::make_unique<key_store>(*std::move(keys));
+    context.sealer = make_envelope(*context.keys);
+    return true;
+}
+
+int run(arguments const& given) {
+    auto config = load_daemon_config(given.config);
+    if (!config.ok()) {
+        std::fprintf(stderr, "%s\n", std::string(config.status().message()).c_str());
         return exit_failed;
     }
     sigset_t const set = block_signals();
     process_context context;
     context.config = *std::move(config);
-    context.keys = std::make_unique<key_store>(*std::move(keys));
-    context.sealer = make_envelope(*context.keys);
+    if (!load_keys(context))
+        return exit_failed;
     context.events = std::make_unique<event_log>(context.clock);
     context.process = make_process_number();
     context.on_stopped = [main = pthread_self()] { pthread_kill(main, stopped_signal); };
@@ -139,7 +206,7 @@
         return exit_failed;
     }
     context.events->info(event_line("started").add("name", context.config.name));
-    return wait_until_stopped(context, **process, set);
+    return wait_until_stopped(context, **process, set, given.config);
 }
 
 } // namespace
--- /dev/null
+++ b/src/connection/packet_router.cpp
@@ -0,0 +1,344 @@
+#include "toucanusher/connection/packet_router.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace toucanusher {
+
+namespace {
+
+constexpr duration sweep_interval = std::chrono::seconds{5};
+
+struct hashed_flow {
+    std::uint32_t caller = 0;
+    std::uint32_t route = 0;
+    std::uint16_t caller_port = 0;
+    std::uint16_t route_port = 0;
+};
+
+std::uint64_t hash_flow(packet_flow const& flow, std::uint64_t seed) {
+    hashed_flow const key{flow.caller.address, flow.route.address, flow.caller.port,
+                          flow.route.port};
+    static_assert(sizeof key == 12, "a key must have no padding");
+    return XXH3_64bits_withSeed(&key, sizeof key, seed);
+}
+
+std::uint64_t hash_name(std::string const& name) {
+    return XXH3_64bits(name.data(), name.size());
+}
+
+// Keeps the services that an address had, oldest first.
+void remember(std::map<endpoint, std::vector<std::string>>& earlier, route const& item) {
+    constexpr std::size_t most = 8;
+    std::vector<std::string>& known = earlier[item.address];
+    for (weighted_service const& part : item.split)
+        if (std::find(known.begin(), known.end(), part.service) == known.end())
+            known.push_back(part.service);
+    if (known.size() > most)
+        known.erase(known.begin());
+}
+
+} // namespace
+
+char const* to_string(router_event event) {
+    switch (event) {
+    case router_event::placing:
+        return "placing";
+    case router_event::placing_again:
+        return "placing_again";
+    case router_event::delivered:
+        return "delivered";
+    case router_event::searching:
+        return "searching";
+    case router_event::found:
+        return "found";
+    case router_event::no_route:
+        return "no_route";
+    case router_event::no_upstream:
+        return "no_upstream";
+    case router_event::nobody_takes:
+        return "nobody_takes";
+    case router_event::not_found:
+        return "not_found";
+    case router_event::overflow:
+        return "overflow";
+    }
+    return "invalid";
+}
+
+packet_router::packet_router(packet_router_options options, time_point now)
+    : options_(std::move(options)), view_{std::make_shared<configuration const>(), {}},
+      index_(*view_.routes), next_sweep_(now + sweep_interval) {}
+
+void packet_router::set_view(router_view view) {
+    if (view.routes != view_.routes) {
+        std::map<endpoint, std::vector<std::string>> kept;
+        for (route const& item : view.routes->routes) {
+            auto const before = earlier_services_.find(item.address);
+            if (before != earlier_services_.end())
+                kept.insert(*before);
+            remember(kept, item);
+        }
+        earlier_services_ = std::move(kept);
+        index_ = route_index(*view.routes);
+    }
+    view_ = std::move(view);
+}
+
+router_output packet_router::on_packet(time_point now, packet_head const& head,
+                                       std::string packet) {
+    bool const opens = head.opens && !head.acknowledges;
+    // Even a flow that is known here is not served once its route is gone.
+    if (!index_.find(head.flow.route)) {
+        note(router_event::no_route, head.flow);
+        return finish();
+    }
+    auto const known = hints_.find(head.flow);
+    if (known != hints_.end())
+        deliver(now, head.flow, known->second, std::move(packet));
+    else if (opens)
+        open_flow(now, head, std::move(packet));
+    else if (auto const search = searches_.find(head.flow); search == searches_.end())
+        start_search(now, head.flow, std::move(packet), {});
+    else if (search->second.parked.size() < options_.max_parked_packets)
+        search->second.parked.push_back(std::move(packet));
+    else
+        note(router_event::overflow, head.flow);
+    return finish();
+}
+
+router_output packet_router::on_notice(time_point now, endpoint agent, flow_notice const& notice) {
+    suspected_.erase(agent);
+    packet_flow const& flow = notice.flow;
+    if (notice.report == flow_report::held) {
+        openings_.erase(flow);
+        hint& known = hints_[flow];
+        known.agent = agent;
+        known.used = now;
+        for (auto const& [service, choices] : view_.upstreams)
+            for (upstream_choice const& choice : choices)
+                if (choice.agent == agent)
+                    known.service = service;
+        note(router_event::found, flow);
+        if (auto waiting = searches_.extract(flow)) {
+            for (std::string& packet : waiting.mapped().parked)
+                deliver(now, flow, known, std::move(packet));
+        }
+        return finish();
+    }
+    if (notice.report == flow_report::nobody_takes) {
+        auto const open = openings_.find(flow);
+        if (open == openings_.end())
+            return finish();
+        note(router_event::nobody_takes, flow);
+        // A copy may have found a place meanwhile, so only the first packet is refused aloud.
+        if (open->second.copies == 0)
+            output_.actions.emplace_back(refuse_flow{flow});
+        openings_.erase(open);
+        return finish();
+    }
+    auto const known = hints_.find(flow);
+    if (known != hints_.end() && known->second.agent == agent)
+        hints_.erase(known);
+    if (!notice.packet.empty() && !hints_.contains(flow) && !searches_.contains(flow))
+        start_search(now, flow, notice.packet, agent);
+    return finish();
+}
+
+router_output packet_router::on_tick(time_point now) {
+    std::vector<packet_flow> late;
+    for (auto const& [flow, open] : openings_)
+        if (now >= open.deadline)
+            late.push_back(flow);
+    for (packet_flow const& flow : late) {
+        opening& open = openings_[flow];
+        if (!open.asked.empty())
+            suspected_[open.asked.back()] = now + options_.suspicion;
+        if (open.attempts >= options_.max_open_attempts) {
+            note(router_event::not_found, flow);
+            openings_.erase(flow);
+            continue;
+        }
+        note(router_event::placing_again, flow);
+        place(now, flow, open);
+    }
+    absl::erase_if(searches_, [&](auto const& item) {
+        if (now < item.second.deadline)
+            return false;
+        note(router_event::not_found, item.first);
+        return true;
+    });
+    if (now >= next_sweep_)
+        sweep_hints(now);
+    return finish();
+}
+
+std::optional<time_point> packet_router::next_due() const {
+    std::optional<time_point> due;
+    if (!hints_.empty())
+        due = next_sweep_;
+    for (auto const& [flow, open] : openings_)
+        due = std::min(due.value_or(open.deadline), open.deadline);
+    for (auto const& [flow, search] : searches_)
+        due = std::min(due.value_or(search.deadline), search.deadline);
+    return due;
+}
+
+void packet_router::open_flow(time_point now, packet_head const& head, std::string packet) {
+    if (openings_.size() >= options_.max_searches) {
+        note(router_event::overflow, head.flow);
+        return;
+    }
+    auto const [at, added] = openings_.try_emplace(head.flow);
+    opening& open = at->second;
+    open.packet = std::move(packet);
+    open.copies = head.acknowledged;
+    if (added) {
+        route const& item = view_.routes->routes[*index_.find(head.flow.route)];
+        open.service = pick_service(item, head.flow);
+        note(router_event::placing, head.flow);
+    }
+    place(now, head.flow, open);
+}
+
+// Sends the opening packet to the next candidates that were not asked yet.
+void packet_router::place(time_point now, packet_flow const& flow, opening& open) {
+    std::vector<upstream_choice const*> const ranked = rank(now, open.service, flow);
+    std::vector<endpoint> candidates;
+    for (upstream_choice const* choice : ranked)
+        if (std::find(open.asked.begin(), open.asked.end(), choice->agent) == open.asked.end())
+            candidates.push_back(choice->agent);
+    if (candidates.empty())
+        for (upstream_choice const* choice : ranked)
+            candidates.push_back(choice->agent);
+    ++open.attempts;
+    open.deadline = now + options_.open_patience;
+    if (candidates.empty()) {
+        note(router_event::no_upstream, flow);
+        open.attempts = options_.max_open_attempts;
+        return;
+    }
+    candidates.resize(std::min<std::size_t>(candidates.size(), options_.max_candidates));
+    endpoint const first = candidates.front();
+    candidates.erase(candidates.begin());
+    open.asked.push_back(first);
+    output_.actions.emplace_back(carry_to_agent{first,
+                                                {.purpose = carry_purpose::open,
+                                                 .service = open.service,
+                                                 .origin = options_.self,
+                                                 .candidates = std::move(candidates),
+                                                 .offers_wanted = options_.offers,
+                                                 .best = {},
+                                                 .packet = open.packet}});
+}
+
+void packet_router::start_search(time_point now, packet_flow const& flow, std::string packet,
+                                 endpoint except) {
+    if (searches_.size() >= options_.max_searches) {
+        note(router_event::overflow, flow);
+        return;
+    }
+    note(router_event::searching, flow);
+    searches_[flow].deadline = now + options_.search_patience;
+    for (std::string const& service : searched_services(flow)) {
+        auto const choices = view_.upstreams.find(service);
+        if (choices == view_.upstreams.end())
+            continue;
+        for (upstream_choice const& choice : choices->second)
+            if (choice.agent != except)
+                output_.actions.emplace_back(carry_to_agent{choice.agent,
+                                                            {.purpose = carry_purpose::search,
+                                                             .service = service,
+                                                             .origin = options_.self,
+                                                             .candidates = {},
+                                                             .best = {},
+                                                             .packet = packet}});
+    }
+}
+
+void packet_router::deliver(time_point now, packet_flow const& flow, hint& known,
+                            std::string packet) {
+    known.used = now;
+    note(router_event::delivered, flow);
+    output_.actions.emplace_back(carry_to_agent{known.agent,
+                                                {.purpose = carry_purpose::deliver,
+                                                 .service = known.service,
+                                                 .origin = options_.self,
+                                                 .candidates = {},
+                                                 .best = {},
+                                                 .packet = std::move(packet)}});
+}
+
+void packet_router::note(router_event event, packet_flow const& flow) {
+    output_.events.emplace_back(event, flow);
+}
+
+void packet_router::sweep_hints(time_point now) {
+    next_sweep_ = now + sweep_interval;
+    bool const crowded = hints_.size() > options_.max_hints;
+    duration const kept = crowded ? options_.hint_lifetime / 4 : options_.hint_lifetime;
+    absl::erase_if(hints_, [&](auto const& item) { return now - item.second.used > kept; });
+    std::erase_if(suspected_, [&](auto const& item) { return now >= item.second; });
+}
+
+std::string packet_router::pick_service(route const& item, packet_flow const& flow) const {
+    std::uint64_t total = 0;
+    for (weighted_service const& part : item.split)
+        total += part.weight;
+    if (total == 0)
+        return {};
+    std::uint64_t draw = hash_flow(flow, 0) % total;
+    for (weighted_service const& part : item.split) {
+        if (draw < part.weight)
+            return part.service;
+        draw -= part.weight;
+    }
+    return {};
+}
+
+// Candidates in the flow's own random order; suspected and leaving ones come last.
+std::vector<upstream_choice const*> packet_router::rank(time_point now, std::string const& service,
+                                                        packet_flow const& flow) const {
+    auto const choices = view_.upstreams.find(service);
+    if (choices == view_.upstreams.end())
+        return {};
+    struct ranked {
+        bool avoided = false;
+        std::uint64_t order = 0;
+        upstream_choice const* choice = nullptr;
+    };
+    std::vector<ranked> all;
+    for (upstream_choice const& choice : choices->second)
+        if (!choice.draining)
+            all.push_back(
+                {suspected(now, choice.agent), hash_flow(flow, hash_name(choice.name)), &choice});
+    std::sort(all.begin(), all.end(), [](ranked const& left, ranked const& right) {
+        return std::tie(left.avoided, left.order) < std::tie(right.avoided, right.order);
+    });
+    std::vector<upstream_choice const*> result;
+    for (ranked const& item : all)
+        result.push_back(item.choice);
+    return result;
+}
+
+std::vector<std::string> packet_router::searched_services(packet_flow const& flow) const {
+    auto const known = earlier_services_.find(flow.route);
+    std::vector<std::string> services;
+    if (known != earlier_services_.end())
+        services = known->second;
+    return services;
+}
+
+bool packet_router::suspected(time_point now, endpoint agent) const {
+    auto const found = suspected_.find(agent);
+    return found != suspected_.end() && now < found->second;
+}
+
+router_output packet_router::finish() {
+    return std::exchange(output_, {});
+}
+
+} // namespace toucanusher
--- /dev/null
+++ b/src/connection/upstream_flows.cpp
@@ -0,0 +1,342 @@
+#include "toucanusher/connection/upstream_flows.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucanusher {
+
+namespace {
+
+constexpr duration sweep_interval = std::chrono::seconds{1};
+// After an opening packet went unanswered, one flow is tried again this often.
+constexpr duration retry_unresponsive = std::chrono::milliseconds{500};
+
+} // namespace
+
+char const* to_string(flow_event event) {
+    switch (event) {
+    case flow_event::placed:
+        return "placed";
+    case flow_event::passed_on:
+        return "passed_on";
+    case flow_event::delivered:
+        return "delivered";
+    case flow_event::tried:
+        return "tried";
+    case flow_event::not_held:
+        return "not_held";
+    case flow_event::refused:
+        return "refused";
+    case flow_event::other_service:
+        return "other_service";
+    case flow_event::unanswered:
+        return "unanswered";
+    case flow_event::lost_flow:
+        return "lost_flow";
+    case flow_event::table_full:
+        return "table_full";
+    }
+    return "invalid";
+}
+
+upstream_flows::upstream_flows(upstream_flows_options options, time_point started)
+    : options_(std::move(options)), started_(started) {}
+
+agent_output upstream_flows::on_carried(time_point now, packet_head const& head,
+                                        carried_packet message) {
+    if (message.service != options_.service) {
+        note(flow_event::other_service, head.flow);
+        if (message.purpose == carry_purpose::open)
+            pass_on(head, std::move(message));
+        else if (message.purpose == carry_purpose::deliver)
+            report(message.origin, flow_report::other_service, head.flow,
+                   std::move(message.packet));
+        return finish();
+    }
+    auto const known = flows_.find(head.flow);
+    bool const opens = head.opens && !head.acknowledges;
+    if (known != flows_.end()) {
+        deliver(now, head, known->second, std::move(message));
+    } else if (opens) {
+        open_flow(now, head, std::move(message));
+    } else if (may_be_incomplete(now) && flows_.size() < options_.max_flows) {
+        note(flow_event::tried, head.flow);
+        flow& fresh = flows_[head.flow];
+        fresh.phase = flow_phase::tried;
+        deliver(now, head, fresh, std::move(message));
+    } else if (message.purpose == carry_purpose::deliver) {
+        note(flow_event::not_held, head.flow);
+        report(message.origin, flow_report::not_held, head.flow, std::move(message.packet));
+    }
+    return finish();
+}
+
+agent_output upstream_flows::on_upstream_packet(time_point now, packet_head const& head,
+                                                std::string packet) {
+    unresponsive_since_.reset();
+    if (head.returned) {
+        on_returned(now, head, std::move(packet));
+        return finish();
+    }
+    auto const [at, added] = flows_.try_emplace(head.flow);
+    flow& known = at->second;
+    if (added)
+        known.phase = flow_phase::tried;
+    note_upstream_packet(now, head, known);
+    output_.actions.emplace_back(answer_caller{head.flow.caller, std::move(packet)});
+    return finish();
+}
+
+agent_output upstream_flows::on_life_ended(time_point now) {
+    for (auto const& [key, known] : flows_) {
+        if (known.phase == flow_phase::closed)
+            continue;
+        if (known.phase == flow_phase::opening && known.opening) {
+            packet_head head;
+            head.flow = key;
+            pass_on(head, *known.opening);
+            continue;
+        }
+        note(flow_event::lost_flow, key);
+        output_.actions.emplace_back(reset_flow{key, known.caller_expects});
+    }
+    flows_.clear();
+    opening_.clear();
+    open_ = 0;
+    waiting_ = 0;
+    // Whatever comes next belongs to a life whose flows all pass by here.
+    started_ = now - options_.flow_lifetime;
+    return finish();
+}
+
+agent_output upstream_flows::on_tick(time_point now) {
+    while (!opening_.empty()) {
+        packet_flow const key = opening_.front();
+        auto const at = flows_.find(key);
+        bool const waits = at != flows_.end() && at->second.phase == flow_phase::opening;
+        if (waits && now < at->second.open_deadline)
+            break;
+        opening_.erase(opening_.begin());
+        if (!waits)
+            continue;
+        note(flow_event::unanswered, key);
+        unresponsive_since_ = now;
+        packet_head head;
+        head.flow = key;
+        if (at->second.opening)
+            pass_on(head, *std::exchange(at->second.opening, std::nullopt));
+        // The upstream may still answer; then the caller chooses between the two.
+        set_phase(at->second, flow_phase::tried);
+    }
+    if (now >= next_sweep_)
+        sweep(now);
+    return finish();
+}
+
+void upstream_flows::set_upstream(std::uint32_t slots, bool takes_new, time_point warm_at) {
+    slots_ = std::max(slots, 1U);
+    takes_new_ = takes_new;
+    warm_at_ = warm_at;
+}
+
+load_level upstream_flows::load(time_point now) const {
+    std::uint64_t const work = waiting_ * std::uint64_t{options_.waiting_weight} +
+                               open_ * std::uint64_t{options_.open_weight};
+    std::uint64_t const cold = now < warm_at_ ? options_.cold_weight : 0;
+    return load_level{static_cast<std::uint32_t>(work / slots_ + cold)};
+}
+
+std::optional<time_point> upstream_flows::next_due() const {
+    std::optional<time_point> due;
+    if (!flows_.empty())
+        due = next_sweep_;
+    if (!opening_.empty())
+        if (auto const at = flows_.find(opening_.front()); at != flows_.end())
+            due = std::min(due.value_or(at->second.open_deadline), at->second.open_deadline);
+    return due;
+}
+
+void upstream_flows::open_flow(time_point now, packet_head const& head, carried_packet message) {
+    if (!takes_new(now)) {
+        pass_on(head, std::move(message));
+        return;
+    }
+    load_level const own = load(now);
+    if (message.best && message.best->agent != options_.self && message.best->load < own &&
+        message.offers_wanted <= 1) {
+        endpoint const best = message.best->agent;
+        message.best.reset();
+        message.offers_wanted = 0;
+        note(flow_event::passed_on, head.flow);
+        output_.actions.emplace_back(pass_on_packet{best, std::move(message)});
+        return;
+    }
+    if (message.offers_wanted > 1 && !message.candidates.empty()) {
+        --message.offers_wanted;
+        if (!message.best || own < message.best->load)
+            message.best = load_offer{options_.self, own};
+        endpoint const next = message.candidates.front();
+        message.candidates.erase(message.candidates.begin());
+        note(flow_event::passed_on, head.flow);
+        output_.actions.emplace_back(pass_on_packet{next, std::move(message)});
+        return;
+    }
+    take(now, head, std::move(message));
+}
+
+void upstream_flows::take(time_point now, packet_head const& head, carried_packet message) {
+    if (flows_.size() >= options_.max_flows) {
+        note(flow_event::table_full, head.flow);
+        pass_on(head, std::move(message));
+        return;
+    }
+    note(flow_event::placed, head.flow);
+    flow& fresh = flows_[head.flow];
+    fresh.phase = flow_phase::opening;
+    fresh.open_deadline = now + options_.open_patience;
+    fresh.origin = message.origin;
+    fresh.last_seen = now;
+    opening_.push_back(head.flow);
+    output_.actions.emplace_back(deliver_packet{message.packet});
+    message.best.reset();
+    fresh.opening = std::move(message);
+}
+
+// Another agent may take the flow; without one the balancer is told.
+void upstream_flows::pass_on(packet_head const& head, carried_packet message) {
+    if (message.best && message.best->agent != options_.self) {
+        endpoint const best = message.best->agent;
+        message.best.reset();
+        message.offers_wanted = 0;
+        output_.actions.emplace_back(pass_on_packet{best, std::move(message)});
+    } else if (!message.candidates.empty()) {
+        endpoint const next = message.candidates.front();
+        message.candidates.erase(message.candidates.begin());
+        output_.actions.emplace_back(pass_on_packet{next, std::move(message)});
+    } else {
+        note(flow_event::refused, head.flow);
+        report(message.origin, flow_report::nobody_takes, head.flow, {});
+        return;
+    }
+    note(flow_event::passed_on, head.flow);
+}
+
+void upstream_flows::deliver(time_point now, packet_head const& head, flow& known,
+                             carried_packet message) {
+    bool const moved = known.origin != message.origin;
+    known.origin = message.origin;
+    note_caller_packet(now, head, known);
+    bool const certain = known.phase == flow_phase::open || known.phase == flow_phase::closed;
+    if (certain && (moved || message.purpose != carry_purpose::deliver))
+        report(message.origin, flow_report::held, head.flow, {});
+    output_.actions.emplace_back(deliver_packet{std::move(message.packet)});
+}
+
+void upstream_flows::on_returned(time_point now, packet_head const& head, std::string packet) {
+    auto const at = flows_.find(head.flow);
+    if (at == flows_.end())
+        return;
+    flow const known = std::move(at->second);
+    erase(head.flow);
+    if (known.phase == flow_phase::opening && known.opening) {
+        pass_on(head, *known.opening);
+    } else if (known.phase == flow_phase::open) {
+        note(flow_event::lost_flow, head.flow);
+        output_.actions.emplace_back(reset_flow{head.flow, known.caller_expects});
+    } else if (known.phase == flow_phase::tried && !head.opens) {
+        note(flow_event::not_held, head.flow);
+        report(known.origin, flow_report::not_held, head.flow, std::move(packet));
+    }
+    (void)now;
+}
+
+void upstream_flows::note_caller_packet(time_point now, packet_head const& head, flow& known) {
+    known.last_seen = now;
+    if (head.acknowledges)
+        known.caller_expects = head.acknowledged;
+    if (head.data_bytes > 0)
+        set_waiting(known, true);
+    known.caller_finished = known.caller_finished || head.finishes;
+    if (head.resets || (known.caller_finished && known.upstream_finished))
+        set_phase(known, flow_phase::closed);
+}
+
+void upstream_flows::note_upstream_packet(time_point now, packet_head const& head, flow& known) {
+    known.last_seen = now;
+    bool const first = known.phase == flow_phase::opening || known.phase == flow_phase::tried;
+    if (first && !head.resets) {
+        known.opening.reset();
+        set_phase(known, flow_phase::open);
+        if (!known.origin.empty())
+            report(known.origin, flow_report::held, head.flow, {});
+    }
+    if (head.data_bytes > 0 || head.finishes)
+        set_waiting(known, false);
+    known.upstream_finished = known.upstream_finished || head.finishes;
+    if (head.resets || (known.caller_finished && known.upstream_finished))
+        set_phase(known, flow_phase::closed);
+}
+
+void upstream_flows::set_phase(flow& known, flow_phase phase) {
+    if (known.phase == flow_phase::open)
+        --open_;
+    known.phase = phase;
+    if (phase == flow_phase::open)
+        ++open_;
+    if (phase == flow_phase::closed)
+        set_waiting(known, false);
+}
+
+void upstream_flows::set_waiting(flow& known, bool waiting) {
+    if (known.waiting == waiting)
+        return;
+    known.waiting = waiting;
+    waiting_ += waiting ? 1 : static_cast<std::size_t>(-1);
+}
+
+void upstream_flows::erase(packet_flow const& key) {
+    auto const at = flows_.find(key);
+    if (at == flows_.end())
+        return;
+    set_waiting(at->second, false);
+    set_phase(at->second, flow_phase::closed);
+    flows_.erase(at);
+}
+
+void upstream_flows::report(endpoint balancer, flow_report what, packet_flow const& flow,
+                            std::string packet) {
+    output_.actions.emplace_back(
+        notify_balancer{balancer, {what, flow, load_level{}, std::move(packet)}});
+}
+
+void upstream_flows::note(flow_event event, packet_flow const& flow) {
+    output_.events.emplace_back(event, flow);
+}
+
+void upstream_flows::sweep(time_point now) {
+    next_sweep_ = now + sweep_interval;
+    std::vector<packet_flow> gone;
+    for (auto const& [key, known] : flows_) {
+        bool const brief = known.phase == flow_phase::closed || known.phase == flow_phase::tried;
+        duration const kept = brief ? options_.closed_lifetime : options_.idle_lifetime;
+        if (now - known.last_seen > kept)
+            gone.push_back(key);
+    }
+    for (packet_flow const& key : gone)
+        erase(key);
+}
+
+bool upstream_flows::takes_new(time_point now) const {
+    bool const answers = !unresponsive_since_ || now - *unresponsive_since_ > retry_unresponsive;
+    return takes_new_ && answers;
+}
+
+bool upstream_flows::may_be_incomplete(time_point now) const {
+    return now - started_ < options_.flow_lifetime;
+}
+
+agent_output upstream_flows::finish() {
+    return std::exchange(output_, {});
+}
+
+} // namespace toucanusher
--- a/src/process/io/daemon_config.cpp
+++ b/src/process/io/daemon_config.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t max_port_number = 65535;
 constexpr std::uint32_t max_slots = 4096;
 constexpr std::size_t max_control_hosts = 7;
+constexpr std::uint32_t max_tolerated_losses = 3; // of 7 control hosts
 constexpr char const* upstream_prefix = "upstream.";
 
 std::map<host_id, endpoint> read_control_hosts(section_reader& fleet) {
@@ -53,6 +54,57 @@
     return upstream;
 }
 
+packet_config read_packets(ini_file const& file, process_role role, findings& found) {
+    section_reader reader(file, "packets", found);
+    packet_config packets;
+    packets.carrier = reader.address("carrier", std::nullopt);
+    packets.readiness = reader.address("readiness", std::nullopt);
+    if (role == process_role::balancer) {
+        packets.callers = reader.address("callers", std::nullopt);
+        packets.linger = reader.milliseconds("linger_ms", 0, max_milliseconds, packets.linger);
+    } else {
+        packets.from_upstream = reader.address("from_upstream", std::nullopt);
+        packets.upstream = reader.address("upstream", std::nullopt);
+        packets.announcements = reader.address("announcements", std::nullopt);
+        packets.service = reader.text("service", std::nullopt);
+        packets.caller_port = packets.carrier.port;
+    }
+    reader.finish();
+    return packets;
+}
+
+void read_control(ini_file const& file, daemon_config& config, findings& found) {
+    section_reader reader(file, "control", found);
+    config.data_folder = reader.text("data", std::nullopt);
+    config.member_lease =
+        reader.milliseconds("member_lease_ms", 1000, max_milliseconds, config.member_lease);
+    if (config.seeds.empty()) {
+        config.id = host_id{reader.number("id", 1, max_port_number, std::nullopt)};
+        if (!config.control_hosts.contains(config.id))
+            reader.fault("id", "is not among [fleet] control_hosts");
+    } else {
+        automatic_control own;
+        own.listen = reader.address("listen", std::nullopt);
+        own.api = reader.address("api", std::nullopt);
+        own.readiness = reader.address("readiness", std::nullopt);
+        own.may_found = reader.text("may_found", "false") == "true";
+        own.tolerated_losses = reader.number("tolerated_losses", 0, max_tolerated_losses, 1);
+        config.automatic = own;
+    }
+    reader.finish();
+}
+
+std::vector<endpoint> read_seeds(section_reader& fleet) {
+    std::vector<endpoint> seeds;
+    for (std::string const& item : fleet.list("seeds")) {
+        if (auto const where = parse_endpoint(item))
+            seeds.push_back(*where);
+        else
+            fleet.fault("seeds", absl::StrCat("expects addresses, not \"", item, "\""));
+    }
+    return seeds;
+}
+
 process_role read_role(section_reader& daemon) {
     std::string const role = daemon.text("role", std::nullopt);
     if (role == "balancer")
@@ -68,7 +120,11 @@
 }
 
 void read_role_sections(ini_file const& file, daemon_config& config, findings& found) {
-    if (config.role == process_role::balancer) {
+    bool const carries_packets =
+        config.role != process_role::control && !file.section("packets").empty();
+    if (carries_packets) {
+        config.packets = read_packets(file, config.role, found);
+    } else if (config.role == process_role::balancer) {
         section_reader reader(file, "balancer", found);
         config.replies = reader.address("replies", std::nullopt);
         config.local = reader.address("local", endpoint{});
@@ -84,19 +140,14 @@
         if (config.upstreams.empty())
             found.add({file.source(), 0, "[upstream.NAME]"}, "an agent needs at least one");
     } else {
-        section_reader reader(file, "control", found);
-        config.id = host_id{reader.number("id", 1, max_port_number, std::nullopt)};
-        config.data_folder = reader.text("data", std::nullopt);
-        config.member_lease =
-            reader.milliseconds("member_lease_ms", 1000, max_milliseconds, config.member_lease);
-        if (!config.control_hosts.contains(config.id))
-            reader.fault("id", "is not among [fleet] control_hosts");
-        reader.finish();
+        read_control(file, config, found);
     }
 }
 
 void check_sections(ini_file const& file, process_role role, findings& found) {
     std::vector<std::string> known = {"daemon", "fleet", "admin"};
+    if (role != process_role::control)
+        known.emplace_back("packets");
     known.emplace_back(role == process_role::balancer ? "balancer"
                        : role == process_role::agent  ? "agent"
                                                       : "control");
@@ -125,6 +176,13 @@
     return config;
 }
 
+std::vector<endpoint> seed_links(daemon_config const& config) {
+    std::vector<endpoint> links;
+    for (endpoint const& seed : config.seeds)
+        links.push_back({seed.address, config.link_port});
+    return links;
+}
+
 daemon_config parse_daemon_config(ini_file const& file, findings& found) {
     daemon_config config;
     section_reader daemon(file, "daemon", found);
@@ -135,8 +193,15 @@
                                                    config.shutdown_deadline);
     daemon.finish();
     section_reader fleet(file, "fleet", found);
-    config.key_file = fleet.text("keys", std::nullopt);
-    config.control_hosts = read_control_hosts(fleet);
+    config.seeds = read_seeds(fleet);
+    config.link_port = static_cast<std::uint16_t>(
+        fleet.number("link_port", 1, max_port_number,
+                     config.seeds.empty() ? std::optional<std::uint32_t>{0} : std::nullopt));
+    // Without keys, links are not sealed: for fabrics that keep strangers away from them.
+    config.key_file =
+        fleet.text("keys", config.seeds.empty() ? std::nullopt : std::optional{std::string{}});
+    if (config.seeds.empty())
+        config.control_hosts = read_control_hosts(fleet);
     fleet.finish();
     section_reader admin(file, "admin", found);
     config.admin = admin.address("listen", std::nullopt);
--- a/src/process/io/daemon_config.h
+++ b/src/process/io/daemon_config.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,31 @@
     std::chrono::milliseconds ramp{3000}; // from cold to full share
 };
 
+// Addresses of a front end that carries the packets of flows whose ends are callers and upstreams,
+// without ending the flows itself.
+struct packet_config {
+    endpoint carrier;   // packets and notices of the system's own processes
+    endpoint readiness; // HTTP: whether the fabric may send new work here
+    // balancer
+    endpoint callers;                       // where the fabric delivers callers' packets
+    std::chrono::milliseconds linger{1500}; // a stopping balancer still carries packets
+    // agent
+    endpoint from_upstream; // where the upstream sends its packets
+    endpoint upstream;      // takes packets, and HTTP health checks
+    endpoint announcements; // HTTP: where the upstream announces itself
+    std::string service;
+    std::uint16_t caller_port = 0; // callers take packets at their address and this port
+};
+
+// A control host that finds its fellows by itself.
+struct automatic_control {
+    endpoint listen; // links of other hosts and daemons
+    endpoint api;    // HTTP: the operator's calls
+    endpoint readiness;
+    bool may_found = false; // the fleet starts for the first time
+    std::uint32_t tolerated_losses = 1;
+};
+
 struct daemon_config {
     process_role role = process_role::balancer;
     std::string name;
@@ -35,6 +61,11 @@
     std::chrono::milliseconds shutdown_deadline{10000};
     endpoint admin;
     std::map<host_id, endpoint> control_hosts;
+    // Instead of control_hosts: HTTP addresses of some control hosts, and the port of their links.
+    std::vector<endpoint> seeds;
+    std::uint16_t link_port = 0;
+    std::optional<packet_config> packets;
+    std::optional<automatic_control> automatic;
     // balancer
     endpoint replies;
     // Where callers' packets arrive if the fabric rewrites their destination: port 0, and the
@@ -50,6 +81,9 @@
     std::chrono::milliseconds member_lease{4000};
 };
 
+// The link addresses of the seeds.
+std::vector<endpoint> seed_links(daemon_config const& config);
+
 // Reads and checks the whole file; all faults are reported together.
 absl::StatusOr<daemon_config> load_daemon_config(std::string const& path);
 daemon_config parse_daemon_config(ini_file const& file, findings& found);
--- a/src/process/io/envelope.cpp
+++ b/src/process/io/envelope.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
+constexpr unsigned char format_unsealed = 0;
 constexpr unsigned char format_one = 1;
+constexpr char const* unsealed_key = "fleet:unsealed";
 constexpr std::size_t nonce_bytes = crypto_aead_xchacha20poly1305_ietf_NPUBBYTES;
 constexpr std::size_t tag_bytes = crypto_aead_xchacha20poly1305_ietf_ABYTES;
 constexpr std::size_t fixed_header_bytes = 2;
@@ -34,14 +36,16 @@
 }
 
 envelope::envelope(key_store const& keys, std::array<unsigned char, 16> seed)
-    : keys_(keys), seed_(seed) {}
+    : keys_(&keys), seed_(seed) {}
 
 std::string envelope::seal(std::string_view plain) const {
-    return seal_as(keys_.get()->current, plain);
+    return seal_as(keys_ == nullptr ? std::string() : keys_->get()->current, plain);
 }
 
 std::string envelope::seal_as(std::string const& key, std::string_view plain) const {
-    auto const keys = keys_.get();
+    if (keys_ == nullptr)
+        return std::string(1, static_cast<char>(format_unsealed)).append(plain);
+    auto const keys = keys_->get();
     auto const found = keys->keys.find(key);
     if (found == keys->keys.end())
         return {};
@@ -63,6 +67,11 @@
 std::variant<opened_message, seal_refusal> envelope::open(std::string_view sealed) const {
     if (sealed.size() < fixed_header_bytes)
         return seal_refusal::too_short;
+    if (keys_ == nullptr) {
+        if (static_cast<unsigned char>(sealed[0]) != format_unsealed)
+            return seal_refusal::unknown_format;
+        return opened_message{unsealed_key, std::string(sealed.substr(1))};
+    }
     if (static_cast<unsigned char>(sealed[0]) != format_one)
         return seal_refusal::unknown_format;
     std::size_t const name_bytes = static_cast<unsigned char>(sealed[1]);
@@ -71,7 +80,7 @@
         return seal_refusal::too_short;
     opened_message message;
     message.key = std::string(sealed.substr(fixed_header_bytes, name_bytes));
-    auto const keys = keys_.get();
+    auto const keys = keys_->get();
     auto const found = keys->keys.find(message.key);
     if (found == keys->keys.end())
         return seal_refusal::unknown_key;
--- a/src/process/io/envelope.h
+++ b/src/process/io/envelope.h
@@ -37,6 +37,9 @@
     // `keys` outlives the envelope. `seed` makes nonces of different processes differ.
     envelope(key_store const& keys, std::array<unsigned char, 16> seed);
 
+    // Seals nothing: for links that no stranger can reach. Takes only messages of its own kind.
+    envelope() : keys_(nullptr), seed_{} {}
+
     // Seals with the fleet's current key.
     [[nodiscard]] std::string seal(std::string_view plain) const;
     // Seals with a named key; empty if there is no such key.
@@ -44,7 +47,7 @@
     [[nodiscard]] std::variant<opened_message, seal_refusal> open(std::string_view sealed) const;
 
   private:
-    key_store const& keys_;
+    key_store const* keys_; // null: nothing is sealed
     std::array<unsigned char, 16> seed_;
     mutable std::atomic<std::uint64_t> counter_{0}; // with the seed never repeats a nonce
 };
--- a/src/process/io/ini_file.cpp
+++ b/src/process/io/ini_file.cpp
@@ -103,6 +103,23 @@
     return {source_, line == section_lines_.end() ? 0 : line->second, name};
 }
 
+namespace {
+
+// "a.b.c.d:port" or "a.b.c.d:port+n", for settings that are given a range of ports.
+std::optional<endpoint> parse_shifted_endpoint(std::string const& text) {
+    std::vector<std::string> const parts = absl::StrSplit(text, absl::MaxSplits('+', 1));
+    auto where = parse_endpoint(parts.front());
+    std::uint32_t shift = 0;
+    if (!where || parts.size() == 1)
+        return where;
+    if (!absl::SimpleAtoi(parts.back(), &shift) || shift > 65535U - where->port)
+        return std::nullopt;
+    where->port = static_cast<std::uint16_t>(where->port + shift);
+    return where;
+}
+
+} // namespace
+
 section_reader::section_reader(ini_file const& file, std::string section, findings& found)
     : file_(file), section_(std::move(section)), found_(found) {}
 
@@ -137,7 +154,7 @@
     auto const text = take(key, !fallback);
     if (!text)
         return fallback.value_or(endpoint{});
-    auto const parsed = parse_endpoint(*text);
+    auto const parsed = parse_shifted_endpoint(*text);
     if (!parsed)
         fault(key, absl::StrCat("expects an address such as 127.0.0.1:8000, not \"", *text, "\""));
     return parsed.value_or(endpoint{});
--- a/src/process/io/link.cpp
+++ b/src/process/io/link.cpp
@@ -1,6 +1,7 @@
 #include "src/process/io/link.h"
 
 #include <nng/protocol/pair1/pair.h>
+#include <nng/supplemental/util/platform.h>
 
 #include <cstring>
 #include <optional>
@@ -14,6 +15,7 @@
 constexpr int buffered_messages = 256;
 constexpr std::size_t max_message_bytes = 64U << 20U; // a snapshot fits
 constexpr nng_duration min_redial_ms = 20;
+constexpr nng_duration pause_after_fault_ms = 20; // keeps a lasting fault from spinning
 constexpr nng_duration max_redial_ms = 500;
 
 std::string url_of(endpoint const& where) {
@@ -86,8 +88,15 @@
 }
 
 void link_server::receive_all() {
-    nng_msg* message = nullptr;
-    while (nng_recvmsg(socket_, &message, 0) != NNG_ECLOSED) {
+    for (;;) {
+        nng_msg* message = nullptr;
+        int const fault = nng_recvmsg(socket_, &message, 0);
+        if (fault == NNG_ECLOSED)
+            return;
+        if (fault != 0) {
+            nng_msleep(pause_after_fault_ms);
+            continue;
+        }
         auto const pipe = nng_msg_get_pipe(message);
         on_receive_(link_peer{pipe.id}, take_body(message));
     }
@@ -151,9 +160,14 @@
             on_receive_(take_body(message));
             continue;
         }
-        std::lock_guard const lock(mutex_);
-        if (closing_)
-            return;
+        {
+            std::lock_guard const lock(mutex_);
+            if (closing_)
+                return;
+        }
+        // A closed socket was replaced by a new one; anything else may last.
+        if (fault != NNG_ECLOSED)
+            nng_msleep(pause_after_fault_ms);
     }
 }
 
--- a/src/process/io/log_store.cpp
+++ b/src/process/io/log_store.cpp
@@ -14,6 +14,7 @@
 #include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
+#include "src/process/io/durable_file.h"
 #include "src/process/log_codec.h"
 
 namespace toucanusher {
@@ -25,24 +26,6 @@
 constexpr std::size_t frame_bytes = sizeof(std::uint32_t) + sizeof(std::uint64_t);
 constexpr std::uint64_t rewrite_above_bytes = 8U << 20U;
 
-absl::Status io_error(std::string const& what, std::string const& file) {
-    std::string const text = absl::StrCat(what, " ", file, ": ", std::strerror(errno));
-    return errno == ENOSPC ? absl::ResourceExhaustedError(text) : absl::InternalError(text);
-}
-
-absl::Status write_all(int file, std::string const& bytes, std::string const& name) {
-    std::size_t done = 0;
-    while (done < bytes.size()) {
-        ssize_t const count = ::write(file, bytes.data() + done, bytes.size() - done);
-        if (count < 0 && errno == EINTR)
-            continue;
-        if (count < 0)
-            return io_error("cannot write", name);
-        done += static_cast<std::size_t>(count);
-    }
-    return absl::OkStatus();
-}
-
 std::string read_file(std::string const& path) {
     std::ifstream input(path, std::ios::binary);
     std::ostringstream bytes;
@@ -50,8 +33,22 @@
     return bytes.str();
 }
 
-// The record's body if a whole, intact record starts at `offset`.
-std::optional<std::string_view> record_at(std::string_view bytes, std::size_t offset) {
+// Tells batches from the records inside them.
+enum class frame_kind : std::uint8_t { record = 0, batch = 1 };
+
+std::string frame(std::string const& body, frame_kind kind) {
+    auto const length = static_cast<std::uint32_t>(body.size());
+    std::uint64_t const checksum =
+        XXH3_64bits_withSeed(body.data(), body.size(), static_cast<XXH64_hash_t>(kind));
+    std::string framed(frame_bytes, '\0');
+    std::memcpy(framed.data(), &length, sizeof length);
+    std::memcpy(framed.data() + sizeof length, &checksum, sizeof checksum);
+    return framed + body;
+}
+
+// The frame's body if a whole, intact one starts at `offset`.
+std::optional<std::string_view> frame_at(std::string_view bytes, std::size_t offset,
+                                         frame_kind kind) {
     if (bytes.size() - offset < frame_bytes)
         return std::nullopt;
     std::uint32_t length = 0;
@@ -61,16 +58,33 @@
     if (bytes.size() - offset - frame_bytes < length)
         return std::nullopt;
     std::string_view const body = bytes.substr(offset + frame_bytes, length);
-    if (XXH3_64bits(body.data(), body.size()) != checksum)
+    auto const seed = static_cast<XXH64_hash_t>(kind);
+    if (XXH3_64bits_withSeed(body.data(), body.size(), seed) != checksum)
         return std::nullopt;
     return body;
 }
 
-// True if an intact record starts anywhere after `offset`: then the damage is not a cut-off end.
-bool record_follows(std::string_view bytes, std::size_t offset) {
+// The writes of a batch; nothing if any of it cannot be read.
+std::optional<std::vector<disk_write>> read_batch(std::string_view batch) {
+    std::vector<disk_write> writes;
+    for (std::size_t offset = 0; offset < batch.size();) {
+        auto const body = frame_at(batch, offset, frame_kind::record);
+        auto write = body ? decode_disk_write(*body)
+                          : absl::StatusOr<disk_write>(absl::DataLossError("bad record"));
+        if (!write.ok())
+            return std::nullopt;
+        offset += frame_bytes + body->size();
+        writes.push_back(*std::move(write));
+    }
+    return writes;
+}
+
+// True if an intact batch starts anywhere after `offset`: then the damage is not a cut-off end,
+// since a batch is written only once the one before it is synced.
+bool batch_follows(std::string_view bytes, std::size_t offset) {
     for (std::size_t at = offset + 1; at + frame_bytes < bytes.size(); ++at) {
-        auto const body = record_at(bytes, at);
-        if (body && !body->empty() && decode_disk_write(*body).ok())
+        auto const body = frame_at(bytes, at, frame_kind::batch);
+        if (body && !body->empty() && read_batch(*body))
             return true;
     }
     return false;
@@ -79,12 +93,7 @@
 } // namespace
 
 std::string frame_record(std::string const& body) {
-    auto const length = static_cast<std::uint32_t>(body.size());
-    std::uint64_t const checksum = XXH3_64bits(body.data(), body.size());
-    std::string framed(frame_bytes, '\0');
-    std::memcpy(framed.data(), &length, sizeof length);
-    std::memcpy(framed.data() + sizeof length, &checksum, sizeof checksum);
-    return framed + body;
+    return frame(body, frame_kind::record);
 }
 
 absl::StatusOr<std::unique_ptr<log_store>> log_store::open(std::string folder) {
@@ -98,6 +107,15 @@
     return store;
 }
 
+absl::Status log_store::discard(std::string const& folder) {
+    std::error_code fault;
+    for (auto const& item : std::filesystem::directory_iterator(folder, fault))
+        std::filesystem::remove(item.path(), fault);
+    if (fault)
+        return absl::InternalError(absl::StrCat("cannot empty ", folder, ": ", fault.message()));
+    return sync_folder(folder);
+}
+
 log_store::log_store(std::string folder) : folder_(std::move(folder)) {}
 
 log_store::~log_store() {
@@ -105,9 +123,23 @@
         ::close(log_file_);
 }
 
+absl::Status log_store::recover() {
+    if (log_file_ >= 0)
+        ::close(log_file_);
+    log_file_ = -1;
+    current_ = {};
+    if (auto const status = load(); !status.ok())
+        return status;
+    // After a failed sync the kernel may call pages clean that never reached the disk.
+    if (auto const status = rewrite_log(); !status.ok())
+        return status;
+    failed_ = false;
+    return absl::OkStatus();
+}
+
 absl::Status log_store::append(std::vector<disk_write> const& writes) {
     if (failed_)
-        return absl::FailedPreconditionError("an earlier write failed; restart the process");
+        return absl::FailedPreconditionError("an earlier write failed; recover first");
     failed_ = true; // until everything below has succeeded
     std::string bytes;
     for (disk_write const& write : writes) {
@@ -141,7 +173,9 @@
     log_file_ = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (log_file_ < 0)
         return io_error("cannot open", path);
-    return sync_folder();
+    if (dropped_bytes_ > 0 && ::fsync(log_file_) != 0)
+        return io_error("cannot sync", path);
+    return sync_folder(folder_);
 }
 
 absl::Status log_store::load_snapshot() {
@@ -150,7 +184,7 @@
         return absl::OkStatus();
     was_empty_ = false;
     std::string const bytes = read_file(path);
-    auto const body = bytes.empty() ? std::nullopt : record_at(bytes, 0);
+    auto const body = bytes.empty() ? std::nullopt : frame_at(bytes, 0, frame_kind::record);
     auto const write = body ? decode_disk_write(*body)
                             : absl::StatusOr<disk_write>(absl::DataLossError("bad checksum"));
     if (!write.ok() || !write->snapshot)
@@ -167,17 +201,17 @@
     was_empty_ = was_empty_ && bytes.empty();
     std::size_t offset = 0;
     while (offset < bytes.size()) {
-        auto const body = record_at(bytes, offset);
-        auto write = body ? decode_disk_write(*body)
-                          : absl::StatusOr<disk_write>(absl::DataLossError("bad record"));
-        if (!write.ok()) {
-            if (record_follows(bytes, offset))
+        auto const body = frame_at(bytes, offset, frame_kind::batch);
+        auto writes = body ? read_batch(*body) : std::nullopt;
+        if (!writes) {
+            if (batch_follows(bytes, offset))
                 return absl::DataLossError(absl::StrCat(path, " is damaged at byte ", offset,
                                                         " before its end; replace this host"));
             break;
         }
         offset += frame_bytes + body->size();
-        apply(std::move(*write));
+        for (disk_write& write : *writes)
+            apply(std::move(write));
     }
     dropped_bytes_ = bytes.size() - offset;
     log_bytes_ = offset;
@@ -192,11 +226,12 @@
 absl::Status log_store::flush(std::string& bytes) {
     if (bytes.empty())
         return absl::OkStatus();
-    if (auto const status = write_all(log_file_, bytes, log_name); !status.ok())
+    std::string const batch = frame(bytes, frame_kind::batch);
+    if (auto const status = write_all(log_file_, batch, log_name); !status.ok())
         return status;
     if (::fdatasync(log_file_) != 0)
         return io_error("cannot sync", log_name);
-    log_bytes_ += bytes.size();
+    log_bytes_ += batch.size();
     bytes.clear();
     return absl::OkStatus();
 }
@@ -204,15 +239,15 @@
 absl::Status log_store::write_snapshot(log_snapshot const& snapshot) {
     disk_write write;
     write.snapshot = snapshot;
-    return replace_file(snapshot_name, frame_record(encode_disk_write(write)));
+    return replace_file(folder_, snapshot_name, frame_record(encode_disk_write(write)));
 }
 
 absl::Status log_store::rewrite_log() {
     disk_write whole;
     whole.state = current_.state;
     whole.entries = current_.entries;
-    std::string const bytes = frame_record(encode_disk_write(whole));
-    if (auto const status = replace_file(log_name, bytes); !status.ok())
+    std::string const bytes = frame(frame_record(encode_disk_write(whole)), frame_kind::batch);
+    if (auto const status = replace_file(folder_, log_name, bytes); !status.ok())
         return status;
     ::close(log_file_);
     std::string const path = absl::StrCat(folder_, "/", log_name);
@@ -223,32 +258,6 @@
     return absl::OkStatus();
 }
 
-absl::Status log_store::replace_file(std::string const& name, std::string const& bytes) const {
-    std::string const path = absl::StrCat(folder_, "/", name);
-    std::string const fresh = path + ".new";
-    int const file = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-    if (file < 0)
-        return io_error("cannot open", fresh);
-    absl::Status status = write_all(file, bytes, fresh);
-    if (status.ok() && ::fsync(file) != 0)
-        status = io_error("cannot sync", fresh);
-    ::close(file);
-    if (!status.ok())
-        return status;
-    if (::rename(fresh.c_str(), path.c_str()) != 0)
-        return io_error("cannot rename", fresh);
-    return sync_folder();
-}
-
-absl::Status log_store::sync_folder() const {
-    int const folder = ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (folder < 0)
-        return io_error("cannot open", folder_);
-    int const fault = ::fsync(folder);
-    ::close(folder);
-    return fault == 0 ? absl::OkStatus() : io_error("cannot sync", folder_);
-}
-
 void log_store::apply(disk_write write) {
     if (write.state)
         current_.state = *write.state;
@@ -257,6 +266,10 @@
     auto& entries = current_.entries;
     if (write.truncate_from)
         std::erase_if(entries, [&](log_entry const& e) { return e.index >= *write.truncate_from; });
+    // A batch that is written again after a failure replaces its own entries.
+    if (!write.entries.empty())
+        std::erase_if(entries,
+                      [&](log_entry const& e) { return e.index >= write.entries.front().index; });
     for (log_entry& entry : write.entries)
         entries.push_back(std::move(entry));
     std::erase_if(entries, [&](log_entry const& e) { return e.index <= current_.snapshot.index; });
--- a/src/process/io/log_store.h
+++ b/src/process/io/log_store.h
@@ -21,6 +21,8 @@
   public:
     // Creates the folder if it is missing. DataLoss on damage, with file and offset.
     static absl::StatusOr<std::unique_ptr<log_store>> open(std::string folder);
+    // Removes what the folder holds, when it is damaged and nobody relies on it any more.
+    static absl::Status discard(std::string const& folder);
     ~log_store();
     log_store(log_store const&) = delete;
     log_store& operator=(log_store const&) = delete;
@@ -31,8 +33,10 @@
     // Bytes of an unfinished record that were dropped while opening.
     [[nodiscard]] std::uint64_t dropped_bytes() const { return dropped_bytes_; }
 
-    // Makes all the writes durable, or fails and leaves the store unusable: after a failed sync
-    // the disk's contents are unknown.
+    // Reads the disk again after a failed append; the failed writes can then be appended anew.
+    absl::Status recover();
+    // Makes all the writes durable, or fails and leaves the store unusable until recover(): after
+    // a failed sync the disk's contents are unknown.
     absl::Status append(std::vector<disk_write> const& writes);
 
   private:
@@ -44,8 +48,6 @@
     absl::Status flush(std::string& bytes);
     absl::Status write_snapshot(log_snapshot const& snapshot);
     absl::Status rewrite_log();
-    absl::Status replace_file(std::string const& name, std::string const& bytes) const;
-    absl::Status sync_folder() const;
     void apply(disk_write write);
 
     std::string folder_;
--- a/src/process/log_fields_codec.h
+++ b/src/process/log_fields_codec.h
@@ -12,7 +12,7 @@
 
 template <typename Archive>
 auto fields(Archive& archive, log_members& value) {
-    return detail::list_fields(archive, value.voters, value.learners);
+    return detail::list_fields(archive, value.voters, value.learners, value.addresses);
 }
 template <typename Archive>
 auto fields(Archive& archive, log_entry& value) {
--- /dev/null
+++ b/src/version/configuration_queue.cpp
@@ -0,0 +1,69 @@
+#include "toucanusher/version/configuration_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucanusher {
+
+char const* to_string(configuration_verdict verdict) {
+    switch (verdict) {
+    case configuration_verdict::accepted:
+        return "accepted";
+    case configuration_verdict::current:
+        return "current";
+    case configuration_verdict::elsewhere:
+        return "elsewhere";
+    case configuration_verdict::unavailable:
+        return "unavailable";
+    }
+    return "invalid";
+}
+
+void configuration_queue::add(time_point now, std::uint64_t call, configuration candidate) {
+    waiting_.push_back({call, std::move(candidate), now + patience_});
+}
+
+std::optional<edit_configuration> configuration_queue::next(configuration const& current) const {
+    if (open_since_ || waiting_.empty())
+        return std::nullopt;
+    auto const loudest =
+        std::max_element(waiting_.begin(), waiting_.end(), [](auto const& left, auto const& right) {
+            return left.candidate.number < right.candidate.number;
+        });
+    if (loudest->candidate.number <= current.number)
+        return std::nullopt;
+    return make_edit(current, loudest->candidate);
+}
+
+void configuration_queue::proposed(time_point now, bool accepted_by_log) {
+    if (accepted_by_log)
+        open_since_ = now;
+}
+
+std::vector<configuration_answer> configuration_queue::answer(time_point now,
+                                                              configuration const& current) {
+    std::vector<configuration_answer> answers;
+    std::erase_if(waiting_, [&](waiting const& item) {
+        bool const durable = item.candidate.number <= current.number;
+        if (!durable && now < item.deadline)
+            return false;
+        answers.push_back(
+            {item.call,
+             durable ? configuration_verdict::accepted : configuration_verdict::unavailable,
+             {},
+             {}});
+        return true;
+    });
+    return answers;
+}
+
+std::vector<configuration_answer> configuration_queue::give_up() {
+    std::vector<configuration_answer> answers;
+    for (waiting const& item : waiting_)
+        answers.push_back({item.call, configuration_verdict::unavailable, {}, {}});
+    waiting_.clear();
+    open_since_.reset();
+    return answers;
+}
+
+} // namespace toucanusher
--- a/src/version/control_codec.cpp
+++ b/src/version/control_codec.cpp
@@ -19,12 +19,13 @@
 auto fields(Archive& archive, heartbeat& value) {
     return detail::list_fields(archive, value.name, value.role, value.process, value.applied,
                                value.wants_confirmation, value.upstreams, value.gone,
-                               value.balancer, value.balancer_leaves, value.releases);
+                               value.balancer, value.balancer_leaves, value.releases,
+                               value.follows_state);
 }
 template <typename Archive>
 auto fields(Archive& archive, state_update& value) {
     return detail::list_fields(archive, value.base, value.newest, value.commands, value.snapshot,
-                               value.leader_age, value.confirmed_for);
+                               value.leader_age, value.confirmed_for, value.control_hosts);
 }
 template <typename Archive>
 auto fields(Archive& archive, read_settings& value) {
@@ -108,7 +109,15 @@
 
 template <typename Archive>
 auto fields(Archive& archive, host_message& value) {
-    return detail::list_fields(archive, value.from, value.content);
+    return detail::list_fields(archive, value.from, value.where, value.content);
+}
+template <typename Archive>
+auto fields(Archive& archive, join_request& value) {
+    return detail::list_fields(archive, value.host, value.where);
+}
+template <typename Archive>
+auto fields(Archive& archive, host_directory& value) {
+    return detail::list_fields(archive, value.hosts);
 }
 
 std::string encode_control_message(control_message const& message) {
--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -33,7 +33,8 @@
                            claim_faults claim_faults)
     : options_(options), codec_(std::move(codec)),
       log_(options.log, stored, now, std::move(random), log_faults),
-      state_(std::make_shared<fleet_state>(claim_faults)), leases_(options.member_lease) {
+      state_(std::make_shared<fleet_state>(claim_faults)), leases_(options.member_lease),
+      configurations_(options.configuration_patience) {
     if (stored.snapshot.index > 0 && !stored.snapshot.state.empty())
         restore(stored.snapshot);
 }
@@ -52,12 +53,19 @@
             return now - item.second > options_.propose_again_after;
         });
     }
+    if (options_.automatic_hosts) {
+        ask_to_join(now);
+        plan_members(now);
+    }
+    expire_configuration_reads(now);
+    serve_configurations(now);
     push_updates(now);
     return finish();
 }
 
 control_output control_host::on_synced(time_point now, std::uint64_t sequence) {
     take(now, log_.on_synced(now, sequence));
+    serve_configurations(now);
     push_updates(now);
     return finish();
 }
@@ -84,7 +92,12 @@
             read->second.index = answer->index;
         else if (read != reads_.end())
             reads_.erase(read);
+    } else if (auto const* request = std::get_if<join_request>(&message)) {
+        on_join_request(now, from, *request);
+    } else if (auto const* directory = std::get_if<host_directory>(&message)) {
+        roster_.learn(directory->hosts);
     }
+    serve_configurations(now);
     answer_reads(now);
     push_updates(now);
     return finish();
@@ -98,6 +111,7 @@
     from.role = beat.role;
     from.process = beat.process;
     from.applied = beat.applied;
+    from.follows_state = beat.follows_state;
     from.heard = now;
     // Whatever was sent after `applied` a while ago is lost or refused: send it again.
     if (now - from.sent_at > options_.report_interval || from.sent < beat.applied)
@@ -194,6 +208,8 @@
         if (auto const* op =
                 std::get_if<std::pair<client_id, operator_request>>(&read->second.asker))
             refuse(op->first, op->second.id, control_refusal::no_leader, {});
+        if (auto const* reader = std::get_if<configuration_reader>(&read->second.asker))
+            output_.configurations.push_back({.call = reader->call});
         reads_.erase(read);
     }
     compact_if_due();
@@ -208,6 +224,8 @@
         // Every host decodes the same bytes, so a command that is refused is refused everywhere.
         if (command.ok()) {
             result = state_->apply(*command);
+            if (std::holds_alternative<edit_configuration>(*command))
+                configurations_.settled();
             commands_.push_back(entry.payload);
             if (commands_.size() > options_.kept_commands)
                 commands_.pop_front();
@@ -240,9 +258,14 @@
 
 void control_host::follow_leadership(time_point now) {
     bool const leads = log_.role() == log_role::leader;
-    if (leads && !led_)
+    if (leads && !led_) {
         leases_.restart(now);
+        roster_.restart(now, log_.members());
+        led_since_ = now;
+    }
     if (!leads && led_) {
+        for (configuration_answer& answer : configurations_.give_up())
+            output_.configurations.push_back(std::move(answer));
         for (auto const& [index, waiting] : writes_)
             refuse(waiting.client, waiting.request, control_refusal::lost_leadership, {});
         writes_.clear();
@@ -314,7 +337,7 @@
     if (now < next_push_)
         return;
     for (auto& [id, to] : clients_)
-        if (to.sent < state_->version()) {
+        if (to.follows_state && to.sent < state_->version()) {
             push_update(now, id, to);
             next_push_ = now + options_.push_interval;
         }
@@ -328,11 +351,14 @@
     update.newest = newest;
     update.base = to.sent;
     update.leader_age = log_.leader_age(now);
+    update.control_hosts = host_addresses();
     if (confirms) {
         update.confirmed_for = to.process;
         to.confirm_at.reset();
     }
-    if (value_of(to.sent) < oldest) {
+    if (!to.follows_state) {
+        to.sent = newest;
+    } else if (value_of(to.sent) < oldest) {
         update.snapshot = codec_.encode_state(*state_);
         to.sent = newest;
     } else if (to.sent < newest) {
@@ -402,6 +428,10 @@
                        at->second.confirm_at = *read.index;
                        push_update(now, id, at->second);
                    },
+                   [&](configuration_reader const& reader) {
+                       output_.configurations.push_back(
+                           {reader.call, configuration_verdict::current, {}, state_->routes()});
+                   },
                },
                read.asker);
 }
@@ -470,6 +500,129 @@
     take(now, std::move(output));
 }
 
+control_output control_host::on_configuration(time_point now, std::uint64_t call,
+                                              configuration candidate) {
+    // What is applied is durable on a majority, whoever leads.
+    if (candidate.number <= state_->routes()->number)
+        output_.configurations.push_back({call, configuration_verdict::accepted, {}, {}});
+    else if (log_.role() != log_role::leader)
+        output_.configurations.push_back(send_elsewhere(call));
+    else
+        configurations_.add(now, call, std::move(candidate));
+    serve_configurations(now);
+    return finish();
+}
+
+control_output control_host::on_configuration_read(time_point now, std::uint64_t call) {
+    if (log_.role() != log_role::leader) {
+        output_.configurations.push_back(send_elsewhere(call));
+        return finish();
+    }
+    std::uint64_t const token = next_token_++;
+    reads_[token] = {configuration_reader{call, now + options_.configuration_patience},
+                     std::nullopt};
+    take(now, log_.read(now, token));
+    answer_reads(now);
+    return finish();
+}
+
+void control_host::note_host(time_point now, host_id host, endpoint where) {
+    roster_.heard(now, host, where);
+}
+
+std::optional<endpoint> control_host::address_of(host_id host) const {
+    return roster_.address_of(host, log_.members());
+}
+
+void control_host::serve_configurations(time_point now) {
+    for (configuration_answer& answer : configurations_.answer(now, *state_->routes()))
+        output_.configurations.push_back(std::move(answer));
+    propose_configuration(now);
+}
+
+void control_host::propose_configuration(time_point now) {
+    if (!accepts_configurations(now))
+        return;
+    auto edit = configurations_.next(*state_->routes());
+    if (!edit)
+        return;
+    log_output output;
+    auto const index = log_.propose(now, codec_.encode_command(*std::move(edit)), output);
+    configurations_.proposed(now, index.ok());
+    take(now, std::move(output));
+}
+
+bool control_host::accepts_configurations(time_point now) const {
+    if (log_.role() != log_role::leader)
+        return false;
+    return !options_.automatic_hosts ||
+           log_.members().voters.size() >= options_.automatic_hosts->voters ||
+           now - led_since_ >= options_.formation_patience;
+}
+
+configuration_answer control_host::send_elsewhere(std::uint64_t call) const {
+    if (!log_.leader() || *log_.leader() == options_.log.self)
+        return {.call = call};
+    return {call, configuration_verdict::elsewhere, address_of(*log_.leader()), {}};
+}
+
+void control_host::expire_configuration_reads(time_point now) {
+    std::erase_if(reads_, [&](auto const& item) {
+        auto const* reader = std::get_if<configuration_reader>(&item.second.asker);
+        if (reader == nullptr || now < reader->deadline)
+            return false;
+        output_.configurations.push_back({.call = reader->call});
+        return true;
+    });
+}
+
+void control_host::plan_members(time_point now) {
+    if (log_.role() != log_role::leader || now < next_plan_ || !log_.members_committed())
+        return;
+    next_plan_ = now + options_.plan_interval;
+    std::vector<host_sight> seen = roster_.sights(now);
+    for (host_sight& sight : seen)
+        sight.caught_up = log_.match_of(sight.id) >= log_.commit_index();
+    auto const next =
+        plan_hosts(*options_.automatic_hosts, log_.members(), options_.log.self, seen);
+    if (!next)
+        return;
+    log_output output;
+    if (log_.propose_members(now, *next, output).ok())
+        take(now, std::move(output));
+}
+
+void control_host::ask_to_join(time_point now) {
+    auto const age = log_.leader_age(now);
+    bool const led =
+        log_.role() == log_role::leader || (age && *age < options_.leaderless_before_join);
+    if (led || now < next_join_)
+        return;
+    next_join_ = now + options_.join_interval;
+    for (endpoint const& where : roster_.contacts(options_.self_address, log_.members()))
+        output_.to_addresses.push_back(
+            {where, join_request{options_.log.self, options_.self_address}});
+}
+
+void control_host::on_join_request(time_point now, host_id from, join_request const& request) {
+    if (log_.role() == log_role::leader)
+        roster_.heard(now, request.host, request.where);
+    if (from != request.host)
+        return; // was passed on
+    if (log_.role() != log_role::leader && log_.leader() && *log_.leader() != from)
+        output_.to_hosts.push_back({*log_.leader(), request});
+    std::map<host_id, endpoint> known = log_.members().addresses;
+    if (!known.empty())
+        output_.to_hosts.push_back({from, host_directory{std::move(known)}});
+}
+
+std::vector<endpoint> control_host::host_addresses() const {
+    std::vector<endpoint> result;
+    for (auto const& [id, where] : log_.members().addresses)
+        result.push_back(where);
+    return result;
+}
+
 void control_host::refuse(client_id to, std::string const& id, control_refusal reason,
                           std::string detail) {
     output_.refusals.push_back(reason);
--- a/src/version/fleet_fields_codec.h
+++ b/src/version/fleet_fields_codec.h
@@ -48,7 +48,8 @@
 template <typename Archive>
 auto fields(Archive& archive, upstream_announcement& value) {
     return detail::list_fields(archive, value.service, value.name, value.life, value.agent,
-                               value.zone, value.slots, value.ready_percent, value.draining);
+                               value.zone, value.slots, value.ready_percent, value.draining,
+                               value.knows_flows);
 }
 template <typename Archive>
 auto fields(Archive& archive, member_list::member& value) {
@@ -99,11 +100,42 @@
     return detail::list_fields(archive, value.version, value.members, owners, epochs,
                                value.epoch_versions, predecessors);
 }
+inline bool is_valid(request_kind value) {
+    return value <= request_kind::download;
+}
+template <typename Archive>
+auto fields(Archive& archive, weighted_service& value) {
+    return detail::list_fields(archive, value.service, value.weight);
+}
+template <typename Archive>
+auto fields(Archive& archive, route& value) {
+    return detail::list_fields(archive, value.name, value.address, value.kind, value.timeout,
+                               value.objective, value.priority, value.split, value.document);
+}
+template <typename Archive>
+auto fields(Archive& archive, routed_service& value) {
+    return detail::list_fields(archive, value.name, value.health_path, value.max_connections,
+                               value.document);
+}
+template <typename Archive>
+auto fields(Archive& archive, configuration& value) {
+    return detail::list_fields(archive, value.number, value.routes, value.services,
+                               value.idle_timeout, value.document);
+}
+template <typename Archive, typename T>
+auto fields(Archive& archive, list_step<T>& value) {
+    return detail::list_fields(archive, value.first, value.count, value.added);
+}
+template <typename Archive>
+auto fields(Archive& archive, edit_configuration& value) {
+    return detail::list_fields(archive, value.base, value.number, value.routes, value.services,
+                               value.idle_timeout, value.document);
+}
 template <typename Archive>
 auto fields(Archive& archive, fleet_state::contents& value) {
     return detail::list_fields(archive, value.version, value.next_service, value.next_upstream,
                                value.claims, value.services, value.tables, value.lists,
-                               value.upstreams, value.upstream_ids, value.balancers);
+                               value.upstreams, value.upstream_ids, value.balancers, value.routes);
 }
 
 } // namespace toucanusher
--- a/src/version/fleet_state.cpp
+++ b/src/version/fleet_state.cpp
@@ -16,7 +16,9 @@
 
 } // namespace
 
-fleet_state::fleet_state(claim_faults faults) : claims_(std::make_shared<claim_book>(faults)) {}
+fleet_state::fleet_state(claim_faults faults)
+    : claims_(std::make_shared<claim_book>(faults)),
+      routes_(std::make_shared<configuration const>()) {}
 
 std::optional<claim_result> fleet_state::apply(fleet_command const& command) {
     version_ = version_number{value_of(version_) + 1};
@@ -99,7 +101,8 @@
     upstream_ref const ref{id->second, command.said.life};
     upstreams_[ref.id] = {ref, service.id, command.said};
     rebalance(service);
-    note_members(service, command.at);
+    if (!command.said.knows_flows)
+        note_members(service, command.at);
     return std::nullopt;
 }
 
@@ -108,9 +111,11 @@
     if (found == upstreams_.end() || found->second.ref != command.ref)
         return std::nullopt;
     service_id const service = found->second.service;
+    bool const knows_flows = found->second.said.knows_flows;
     upstreams_.erase(found);
     rebalance(services_.at(service));
-    note_members(services_.at(service), command.at);
+    if (!knows_flows)
+        note_members(services_.at(service), command.at);
     return std::nullopt;
 }
 
@@ -139,6 +144,13 @@
     return std::nullopt;
 }
 
+// An edit for another base changes nothing; its proposer sees that and makes a new one.
+std::optional<claim_result> fleet_state::run(edit_configuration const& command) {
+    if (auto next = apply_edit(*routes_, command))
+        routes_ = std::make_shared<configuration const>(*std::move(next));
+    return std::nullopt;
+}
+
 service_record& fleet_state::ensure_service(std::string const& name) {
     auto const [id, added] = service_ids_.try_emplace(name, service_id{next_service_});
     if (added) {
@@ -171,8 +183,10 @@
 void fleet_state::rebalance(service_record& service) {
     std::vector<weighted_upstream> live;
     for (auto const& [id, record] : upstreams_)
-        if (record.service == service.id)
+        if (record.service == service.id && !record.said.knows_flows)
             live.push_back({record.ref, weight_of(record, *service.settings)});
+    if (live.empty() && service.table->members().empty())
+        return; // nothing is steered by buckets here
     service.table = std::make_shared<steering_table>(service.table->rebalanced(live, version_));
 }
 
@@ -215,6 +229,7 @@
     saved.upstream_ids = upstream_ids_;
     for (auto const& [name, record] : balancers_)
         saved.balancers.push_back(record);
+    saved.routes = *routes_;
     return saved;
 }
 
@@ -242,6 +257,7 @@
     fresh.upstream_ids_ = std::move(saved.upstream_ids);
     for (auto const& record : saved.balancers)
         fresh.balancers_[record.name] = record;
+    fresh.routes_ = std::make_shared<configuration const>(std::move(saved.routes));
     fresh.index_addresses();
     *this = std::move(fresh);
     return true;
