Find flows in every service and answer certain ends with a reset

An upstream's bare acknowledgement of a FIN was also taken as proof that it holds a flow.

Ruled out: lost hints alone (the search found flows whose route had not changed); idle expiry at the agent (75 s, the flows were 5 to 10 s idle).

Change: a search goes to the services of the route, then to all others, also to upstreams that left the view in the last 75 s. Only an agreement to open or data proves that a flow is held. When every agent says that its upstream does not hold the flow, the caller gets a reset at once.

--- a/include/toucanusher/connection/carried_message.h
+++ b/include/toucanusher/connection/carried_message.h
@@ -53,7 +53,7 @@
 struct flow_notice {
     flow_report report = flow_report::held;
     packet_flow flow;
-    load_level load{};
+    std::uint32_t caller_expects = 0; // sequence number of the next byte, for a reset
     std::string packet;
 
     friend bool operator==(flow_notice const&, flow_notice const&) = default;
--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,7 +30,10 @@
     // An opening packet is placed within a few hops of about a millisecond each.
     duration open_patience = std::chrono::milliseconds{60};
     std::uint32_t max_open_attempts = 4;
-    duration search_patience = std::chrono::milliseconds{100};
+    // An agent answers a search within a round trip between availability zones, a few milliseconds.
+    duration search_patience = std::chrono::milliseconds{40};
+    // Upstreams that left the fleet's state are still asked for this long: the flow may be there.
+    duration remember_upstreams = std::chrono::seconds{75};
     std::size_t max_parked_packets = 16; // of one flow: what a caller has in flight at most
     std::size_t max_searches = 4096;
     duration hint_lifetime = std::chrono::seconds{90}; // above a flow's longest life
@@ -57,9 +61,10 @@
     endpoint agent;
     carried_packet message;
 };
-// The caller is told that its new flow was not opened.
+// The caller is told that its flow was not opened, or is over.
 struct refuse_flow {
     packet_flow flow;
+    std::uint32_t sequence = 0; // of the next byte that the caller expects
 };
 using router_action = std::variant<carry_to_agent, refuse_flow>;
 
@@ -73,7 +78,8 @@
     no_upstream,
     nobody_takes,
     not_found,
-    overflow, // too many searches or parked packets
+    flow_is_over, // every agent says that its upstream does not hold the flow
+    overflow,     // too many searches or parked packets
 };
 char const* to_string(router_event event);
 
@@ -86,7 +92,7 @@
   public:
     packet_router(packet_router_options options, time_point now);
 
-    void set_view(router_view view);
+    void set_view(time_point now, router_view view);
     router_output on_packet(time_point now, packet_head const& head, std::string packet);
     router_output on_notice(time_point now, endpoint agent, flow_notice const& notice);
     router_output on_tick(time_point now);
@@ -109,20 +115,32 @@
         time_point deadline{};
     };
     struct search {
-        std::vector<std::string> parked;
+        std::vector<std::string> parked;  // the first one is what is searched with
+        std::vector<endpoint> unanswered; // agents that did not yet say that they do not hold it
+        bool everywhere = false;          // all services were asked
+        std::uint32_t expected = 0;       // sequence number that the caller waits for
         time_point deadline{};
     };
+    struct known_agent {
+        std::string service;
+        std::optional<time_point> left; // when it left the view
+    };
 
     void open_flow(time_point now, packet_head const& head, std::string packet);
     void place(time_point now, packet_flow const& flow, opening& open);
-    void start_search(time_point now, packet_flow const& flow, std::string packet, endpoint except);
+    void start_search(time_point now, packet_flow const& flow, std::string packet,
+                      std::uint32_t expected, endpoint except);
+    void ask_agents(time_point now, search& open,
+                    std::function<bool(std::string const& service)> const& wanted);
+    void search_everywhere(time_point now, packet_flow const& flow, search& open);
+    void on_not_held(time_point now, endpoint agent, flow_notice const& notice);
     void deliver(time_point now, packet_flow const& flow, hint& known, std::string packet);
     void note(router_event event, packet_flow const& flow);
     void sweep_hints(time_point now);
     [[nodiscard]] std::string pick_service(route const& item, packet_flow const& flow) const;
     [[nodiscard]] std::vector<upstream_choice const*>
     rank(time_point now, std::string const& service, packet_flow const& flow) const;
-    [[nodiscard]] std::vector<std::string> searched_services(packet_flow const& flow) const;
+    [[nodiscard]] std::vector<std::string> const& services_of(packet_flow const& flow) const;
     [[nodiscard]] bool suspected(time_point now, endpoint agent) const;
     router_output finish();
 
@@ -135,6 +153,7 @@
     absl::flat_hash_map<packet_flow, opening> openings_; // at most max_searches
     absl::flat_hash_map<packet_flow, search> searches_;  // at most max_searches
     std::map<endpoint, time_point> suspected_;           // until when
+    std::map<endpoint, known_agent> agents_;             // in the view, or remembered
     time_point next_sweep_{};
     router_output output_;
 };
--- a/include/toucanusher/connection/upstream_flows.h
+++ b/include/toucanusher/connection/upstream_flows.h
@@ -29,9 +29,13 @@
     duration flow_lifetime = std::chrono::seconds{60};
     duration idle_lifetime = std::chrono::seconds{75};  // above the longest idle timeout
     duration closed_lifetime = std::chrono::seconds{5}; // repeats of the last packets still pass
-    std::uint32_t waiting_weight = 1000; // load of one request in progress, for each slot
-    std::uint32_t open_weight = 150;     // load of one open flow: it may ask again at any time
-    std::uint32_t cold_weight = 1500;    // load that a cold upstream shows, for each slot
+    // The load of an upstream, in thousandths of a slot. Requests in progress tell most, now and
+    // on average; open flows only decide between equals, since most of them are idle.
+    std::uint32_t waiting_weight = 500;
+    std::uint32_t average_weight = 1000;
+    std::uint32_t open_weight = 10;
+    std::uint32_t cold_weight = 300; // a cold upstream works slower, so it shows more load
+    duration averaged_over = std::chrono::seconds{1};
     std::size_t max_flows = 20000;
 };
 
@@ -91,6 +95,8 @@
     agent_output on_tick(time_point now);
     // What the upstream says of itself.
     void set_upstream(std::uint32_t slots, bool takes_new, time_point warm_at);
+    // Every flow of the present life passed by here, so the table is complete.
+    void set_complete(time_point now) { started_ = now - options_.flow_lifetime; }
 
     [[nodiscard]] load_level load(time_point now) const;
     [[nodiscard]] std::size_t open_flows() const { return open_; }
@@ -119,10 +125,13 @@
     void on_returned(time_point now, packet_head const& head, std::string packet);
     void note_caller_packet(time_point now, packet_head const& head, flow& known);
     void note_upstream_packet(time_point now, packet_head const& head, flow& known);
-    void set_phase(flow& known, flow_phase phase);
-    void set_waiting(flow& known, bool waiting);
-    void erase(packet_flow const& key);
-    void report(endpoint balancer, flow_report what, packet_flow const& flow, std::string packet);
+    void set_phase(time_point now, flow& known, flow_phase phase);
+    void set_waiting(time_point now, flow& known, bool waiting);
+    void average_waiting(time_point now);
+    [[nodiscard]] double decayed_average(time_point now) const;
+    void erase(time_point now, packet_flow const& key);
+    void report(endpoint balancer, flow_report what, packet_flow const& flow, std::string packet,
+                std::uint32_t caller_expects = 0);
     void note(flow_event event, packet_flow const& flow);
     void sweep(time_point now);
     [[nodiscard]] bool takes_new(time_point now) const;
@@ -140,6 +149,8 @@
     std::vector<packet_flow> opening_; // keys whose phase may be opening, oldest first
     std::size_t open_ = 0;             // flows in phase open
     std::size_t waiting_ = 0;          // flows whose `waiting` is set
+    double average_waiting_ = 0;       // of waiting_, at averaged_at_
+    time_point averaged_at_{};
     time_point next_sweep_{};
     agent_output output_;
 };
--- a/programs/packet_agent.cpp
+++ b/programs/packet_agent.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t event_ring = 4096;
 constexpr std::size_t send_ring = 4096;
+constexpr std::uint64_t first_sequence = 1; // of an upstream's announcements
 constexpr duration idle_wake = std::chrono::seconds{1};
 // An upstream that announced its end still has to exit; a reset must not reach its callers before.
 constexpr duration end_grace = std::chrono::milliseconds{300};
@@ -177,6 +178,8 @@
                                       .add("slots", call.beat.slots));
             if (had_life || ended_at_)
                 end_life(now);
+            else if (call.beat.sequence <= first_sequence)
+                flows_.set_complete(now); // no flow can be older than this announcement
         }
         if (effect == beat_effect::new_life || effect == beat_effect::renewed)
             announce();
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -116,7 +116,7 @@
 
     void on_event(time_point /*now*/, stop_at& stop) { stop_at_ = stop.when; }
 
-    void on_event(time_point /*now*/, control_news& news) {
+    void on_event(time_point now, control_news& news) {
         bool const has_routes = news.state->routes()->number > 0;
         if (news.confirmed && has_routes && !ready_) {
             ready_ = true;
@@ -131,7 +131,7 @@
                                       .add("routes", news.state->routes()->routes.size())
                                       .add("version", value_of(news.state->version())));
         state_ = std::move(news.state);
-        router_.set_view(make_view(*state_));
+        router_.set_view(now, make_view(*state_));
     }
 
     void on_event(time_point now, received& in) {
@@ -183,7 +183,7 @@
     void perform(refuse_flow const& out) {
         send(callers_, {{out.flow.caller.address, own_.callers.port},
                         {},
-                        front_.packets.encode_reset(out.flow, 0)});
+                        front_.packets.encode_reset(out.flow, out.sequence)});
     }
 
     void send(std::unique_ptr<udp_port> const& port, datagram message) {
--- a/src/connection/carried_codec.cpp
+++ b/src/connection/carried_codec.cpp
@@ -26,7 +26,8 @@
 }
 template <typename Archive>
 auto fields(Archive& archive, flow_notice& value) {
-    return detail::list_fields(archive, value.report, value.flow, value.load, value.packet);
+    return detail::list_fields(archive, value.report, value.flow, value.caller_expects,
+                               value.packet);
 }
 
 std::string encode_carried_message(carried_message const& message) {
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -63,6 +63,8 @@
         return "nobody_takes";
     case router_event::not_found:
         return "not_found";
+    case router_event::flow_is_over:
+        return "flow_is_over";
     case router_event::overflow:
         return "overflow";
     }
@@ -73,7 +75,7 @@
     : options_(std::move(options)), view_{std::make_shared<configuration const>(), {}},
       index_(*view_.routes), next_sweep_(now + sweep_interval) {}
 
-void packet_router::set_view(router_view view) {
+void packet_router::set_view(time_point now, router_view view) {
     if (view.routes != view_.routes) {
         std::map<endpoint, std::vector<std::string>> kept;
         for (route const& item : view.routes->routes) {
@@ -85,6 +87,14 @@
         earlier_services_ = std::move(kept);
         index_ = route_index(*view.routes);
     }
+    for (auto& [agent, known] : agents_)
+        known.left = known.left ? known.left : std::optional{now};
+    for (auto const& [service, choices] : view.upstreams)
+        for (upstream_choice const& choice : choices)
+            agents_[choice.agent] = {service, std::nullopt};
+    std::erase_if(agents_, [&](auto const& item) {
+        return item.second.left && now - *item.second.left > options_.remember_upstreams;
+    });
     view_ = std::move(view);
 }
 
@@ -101,8 +111,10 @@
         deliver(now, head.flow, known->second, std::move(packet));
     else if (opens)
         open_flow(now, head, std::move(packet));
+    else if (head.resets)
+        return finish(); // whoever holds the flow forgets it when it is idle
     else if (auto const search = searches_.find(head.flow); search == searches_.end())
-        start_search(now, head.flow, std::move(packet), {});
+        start_search(now, head.flow, std::move(packet), head.acknowledged, {});
     else if (search->second.parked.size() < options_.max_parked_packets)
         search->second.parked.push_back(std::move(packet));
     else
@@ -118,14 +130,15 @@
         hint& known = hints_[flow];
         known.agent = agent;
         known.used = now;
-        for (auto const& [service, choices] : view_.upstreams)
-            for (upstream_choice const& choice : choices)
-                if (choice.agent == agent)
-                    known.service = service;
+        if (auto const at = agents_.find(agent); at != agents_.end())
+            known.service = at->second.service;
         note(router_event::found, flow);
-        if (auto waiting = searches_.extract(flow)) {
-            for (std::string& packet : waiting.mapped().parked)
-                deliver(now, flow, known, std::move(packet));
+        if (auto const waiting = searches_.find(flow); waiting != searches_.end()) {
+            // The first packet was delivered by the agent that found the flow.
+            std::vector<std::string> parked = std::move(waiting->second.parked);
+            searches_.erase(waiting);
+            for (std::size_t i = 1; i < parked.size(); ++i)
+                deliver(now, flow, known, std::move(parked[i]));
         }
         return finish();
     }
@@ -140,12 +153,32 @@
         openings_.erase(open);
         return finish();
     }
+    on_not_held(now, agent, notice);
+    return finish();
+}
+
+void packet_router::on_not_held(time_point now, endpoint agent, flow_notice const& notice) {
+    packet_flow const& flow = notice.flow;
     auto const known = hints_.find(flow);
     if (known != hints_.end() && known->second.agent == agent)
         hints_.erase(known);
-    if (!notice.packet.empty() && !hints_.contains(flow) && !searches_.contains(flow))
-        start_search(now, flow, notice.packet, agent);
-    return finish();
+    auto const open = searches_.find(flow);
+    if (open == searches_.end()) {
+        if (!notice.packet.empty() && !hints_.contains(flow))
+            start_search(now, flow, notice.packet, notice.caller_expects, agent);
+        return;
+    }
+    std::erase(open->second.unanswered, agent);
+    if (!open->second.unanswered.empty())
+        return;
+    if (!open->second.everywhere) {
+        search_everywhere(now, flow, open->second);
+        return;
+    }
+    // Nobody that could hold it does: the caller need not wait for its deadline.
+    note(router_event::flow_is_over, flow);
+    output_.actions.emplace_back(refuse_flow{flow, open->second.expected});
+    searches_.erase(open);
 }
 
 router_output packet_router::on_tick(time_point now) {
@@ -165,12 +198,17 @@
         note(router_event::placing_again, flow);
         place(now, flow, open);
     }
-    absl::erase_if(searches_, [&](auto const& item) {
-        if (now < item.second.deadline)
-            return false;
-        note(router_event::not_found, item.first);
-        return true;
-    });
+    for (auto at = searches_.begin(); at != searches_.end();) {
+        auto const open = at++;
+        if (now < open->second.deadline)
+            continue;
+        if (!open->second.everywhere) {
+            search_everywhere(now, open->first, open->second);
+            continue;
+        }
+        note(router_event::not_found, open->first);
+        searches_.erase(open);
+    }
     if (now >= next_sweep_)
         sweep_hints(now);
     return finish();
@@ -236,29 +274,49 @@
 }
 
 void packet_router::start_search(time_point now, packet_flow const& flow, std::string packet,
-                                 endpoint except) {
+                                 std::uint32_t expected, endpoint except) {
     if (searches_.size() >= options_.max_searches) {
         note(router_event::overflow, flow);
         return;
     }
     note(router_event::searching, flow);
-    searches_[flow].deadline = now + options_.search_patience;
-    for (std::string const& service : searched_services(flow)) {
-        auto const choices = view_.upstreams.find(service);
-        if (choices == view_.upstreams.end())
+    search& open = searches_[flow];
+    open.parked.push_back(std::move(packet));
+    open.expected = expected;
+    std::vector<std::string> const& services = services_of(flow);
+    ask_agents(now, open, [&](std::string const& service) {
+        return std::find(services.begin(), services.end(), service) != services.end();
+    });
+    std::erase(open.unanswered, except);
+}
+
+// Sends the packet to agents that were not asked yet.
+void packet_router::ask_agents(time_point now, search& open,
+                               std::function<bool(std::string const& service)> const& wanted) {
+    open.deadline = now + options_.search_patience;
+    for (auto const& [agent, known] : agents_) {
+        if (!wanted(known.service))
             continue;
-        for (upstream_choice const& choice : choices->second)
-            if (choice.agent != except)
-                output_.actions.emplace_back(carry_to_agent{choice.agent,
-                                                            {.purpose = carry_purpose::search,
-                                                             .service = service,
-                                                             .origin = options_.self,
-                                                             .candidates = {},
-                                                             .best = {},
-                                                             .packet = packet}});
+        open.unanswered.push_back(agent);
+        output_.actions.emplace_back(carry_to_agent{agent,
+                                                    {.purpose = carry_purpose::search,
+                                                     .service = known.service,
+                                                     .origin = options_.self,
+                                                     .candidates = {},
+                                                     .best = {},
+                                                     .packet = open.parked.front()}});
     }
 }
 
+// An earlier configuration may have sent the flow to a service that its route no longer names.
+void packet_router::search_everywhere(time_point now, packet_flow const& flow, search& open) {
+    open.everywhere = true;
+    std::vector<std::string> const& services = services_of(flow);
+    ask_agents(now, open, [&](std::string const& service) {
+        return std::find(services.begin(), services.end(), service) == services.end();
+    });
+}
+
 void packet_router::deliver(time_point now, packet_flow const& flow, hint& known,
                             std::string packet) {
     known.used = now;
@@ -324,12 +382,10 @@
     return result;
 }
 
-std::vector<std::string> packet_router::searched_services(packet_flow const& flow) const {
+std::vector<std::string> const& packet_router::services_of(packet_flow const& flow) const {
+    static std::vector<std::string> const none;
     auto const known = earlier_services_.find(flow.route);
-    std::vector<std::string> services;
-    if (known != earlier_services_.end())
-        services = known->second;
-    return services;
+    return known == earlier_services_.end() ? none : known->second;
 }
 
 bool packet_router::suspected(time_point now, endpoint agent) const {
--- a/src/connection/upstream_flows.cpp
+++ b/src/connection/upstream_flows.cpp
@@ -1,6 +1,7 @@
 #include "toucanusher/connection/upstream_flows.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace toucanusher {
@@ -11,6 +12,11 @@
 // After an opening packet went unanswered, one flow is tried again this often.
 constexpr duration retry_unresponsive = std::chrono::milliseconds{500};
 
+// An upstream acknowledges the end of flows that it does not hold, so asking tells nothing.
+bool closes(packet_head const& head) {
+    return head.data_bytes == 0 && (head.finishes || head.resets);
+}
+
 } // namespace
 
 char const* to_string(flow_event event) {
@@ -48,9 +54,9 @@
         note(flow_event::other_service, head.flow);
         if (message.purpose == carry_purpose::open)
             pass_on(head, std::move(message));
-        else if (message.purpose == carry_purpose::deliver)
-            report(message.origin, flow_report::other_service, head.flow,
-                   std::move(message.packet));
+        else
+            report(message.origin, flow_report::other_service, head.flow, std::move(message.packet),
+                   head.acknowledged);
         return finish();
     }
     auto const known = flows_.find(head.flow);
@@ -59,14 +65,15 @@
         deliver(now, head, known->second, std::move(message));
     } else if (opens) {
         open_flow(now, head, std::move(message));
-    } else if (may_be_incomplete(now) && flows_.size() < options_.max_flows) {
+    } else if (may_be_incomplete(now) && !closes(head) && flows_.size() < options_.max_flows) {
         note(flow_event::tried, head.flow);
         flow& fresh = flows_[head.flow];
         fresh.phase = flow_phase::tried;
         deliver(now, head, fresh, std::move(message));
-    } else if (message.purpose == carry_purpose::deliver) {
+    } else if (!may_be_incomplete(now)) {
         note(flow_event::not_held, head.flow);
-        report(message.origin, flow_report::not_held, head.flow, std::move(message.packet));
+        report(message.origin, flow_report::not_held, head.flow, std::move(message.packet),
+               head.acknowledged);
     }
     return finish();
 }
@@ -104,8 +111,9 @@
     opening_.clear();
     open_ = 0;
     waiting_ = 0;
+    average_waiting(now);
     // Whatever comes next belongs to a life whose flows all pass by here.
-    started_ = now - options_.flow_lifetime;
+    set_complete(now);
     return finish();
 }
 
@@ -126,7 +134,7 @@
         if (at->second.opening)
             pass_on(head, *std::exchange(at->second.opening, std::nullopt));
         // The upstream may still answer; then the caller chooses between the two.
-        set_phase(at->second, flow_phase::tried);
+        set_phase(now, at->second, flow_phase::tried);
     }
     if (now >= next_sweep_)
         sweep(now);
@@ -140,12 +148,27 @@
 }
 
 load_level upstream_flows::load(time_point now) const {
-    std::uint64_t const work = waiting_ * std::uint64_t{options_.waiting_weight} +
-                               open_ * std::uint64_t{options_.open_weight};
-    std::uint64_t const cold = now < warm_at_ ? options_.cold_weight : 0;
+    double const average = decayed_average(now);
+    double const work = average * options_.average_weight +
+                        static_cast<double>(waiting_) * options_.waiting_weight +
+                        static_cast<double>(open_) * options_.open_weight;
+    double const cold = now < warm_at_ ? options_.cold_weight : 0;
     return load_level{static_cast<std::uint32_t>(work / slots_ + cold)};
 }
 
+// The average moves towards the present figure by the share of the window that has passed.
+double upstream_flows::decayed_average(time_point now) const {
+    using seconds = std::chrono::duration<double>;
+    double const passed = seconds(now - averaged_at_) / seconds(options_.averaged_over);
+    double const kept = std::exp(-std::max(passed, 0.0));
+    return average_waiting_ * kept + static_cast<double>(waiting_) * (1 - kept);
+}
+
+void upstream_flows::average_waiting(time_point now) {
+    average_waiting_ = decayed_average(now);
+    averaged_at_ = now;
+}
+
 std::optional<time_point> upstream_flows::next_due() const {
     std::optional<time_point> due;
     if (!flows_.empty())
@@ -237,7 +260,7 @@
     if (at == flows_.end())
         return;
     flow const known = std::move(at->second);
-    erase(head.flow);
+    erase(now, head.flow);
     if (known.phase == flow_phase::opening && known.opening) {
         pass_on(head, *known.opening);
     } else if (known.phase == flow_phase::open) {
@@ -245,9 +268,9 @@
         output_.actions.emplace_back(reset_flow{head.flow, known.caller_expects});
     } else if (known.phase == flow_phase::tried && !head.opens) {
         note(flow_event::not_held, head.flow);
-        report(known.origin, flow_report::not_held, head.flow, std::move(packet));
+        report(known.origin, flow_report::not_held, head.flow, std::move(packet),
+               head.acknowledged);
     }
-    (void)now;
 }
 
 void upstream_flows::note_caller_packet(time_point now, packet_head const& head, flow& known) {
@@ -255,58 +278,61 @@
     if (head.acknowledges)
         known.caller_expects = head.acknowledged;
     if (head.data_bytes > 0)
-        set_waiting(known, true);
+        set_waiting(now, known, true);
     known.caller_finished = known.caller_finished || head.finishes;
     if (head.resets || (known.caller_finished && known.upstream_finished))
-        set_phase(known, flow_phase::closed);
+        set_phase(now, known, flow_phase::closed);
 }
 
 void upstream_flows::note_upstream_packet(time_point now, packet_head const& head, flow& known) {
     known.last_seen = now;
+    // Only what holds the flow agrees to open it or has data for it.
+    bool const proves = !head.resets && (head.opens || head.data_bytes > 0);
     bool const first = known.phase == flow_phase::opening || known.phase == flow_phase::tried;
-    if (first && !head.resets) {
+    if (first && proves) {
         known.opening.reset();
-        set_phase(known, flow_phase::open);
+        set_phase(now, known, flow_phase::open);
         if (!known.origin.empty())
             report(known.origin, flow_report::held, head.flow, {});
     }
     if (head.data_bytes > 0 || head.finishes)
-        set_waiting(known, false);
+        set_waiting(now, known, false);
     known.upstream_finished = known.upstream_finished || head.finishes;
     if (head.resets || (known.caller_finished && known.upstream_finished))
-        set_phase(known, flow_phase::closed);
+        set_phase(now, known, flow_phase::closed);
 }
 
-void upstream_flows::set_phase(flow& known, flow_phase phase) {
+void upstream_flows::set_phase(time_point now, flow& known, flow_phase phase) {
     if (known.phase == flow_phase::open)
         --open_;
     known.phase = phase;
     if (phase == flow_phase::open)
         ++open_;
     if (phase == flow_phase::closed)
-        set_waiting(known, false);
+        set_waiting(now, known, false);
 }
 
-void upstream_flows::set_waiting(flow& known, bool waiting) {
+void upstream_flows::set_waiting(time_point now, flow& known, bool waiting) {
     if (known.waiting == waiting)
         return;
+    average_waiting(now);
     known.waiting = waiting;
     waiting_ += waiting ? 1 : static_cast<std::size_t>(-1);
 }
 
-void upstream_flows::erase(packet_flow const& key) {
+void upstream_flows::erase(time_point now, packet_flow const& key) {
     auto const at = flows_.find(key);
     if (at == flows_.end())
         return;
-    set_waiting(at->second, false);
-    set_phase(at->second, flow_phase::closed);
+    set_waiting(now, at->second, false);
+    set_phase(now, at->second, flow_phase::closed);
     flows_.erase(at);
 }
 
 void upstream_flows::report(endpoint balancer, flow_report what, packet_flow const& flow,
-                            std::string packet) {
+                            std::string packet, std::uint32_t caller_expects) {
     output_.actions.emplace_back(
-        notify_balancer{balancer, {what, flow, load_level{}, std::move(packet)}});
+        notify_balancer{balancer, {what, flow, caller_expects, std::move(packet)}});
 }
 
 void upstream_flows::note(flow_event event, packet_flow const& flow) {
@@ -323,7 +349,7 @@
             gone.push_back(key);
     }
     for (packet_flow const& key : gone)
-        erase(key);
+        erase(now, key);
 }
 
 bool upstream_flows::takes_new(time_point now) const {
--- a/src/process/io/daemon_config.cpp
+++ b/src/process/io/daemon_config.cpp
@@ -193,7 +193,8 @@
                                                    config.shutdown_deadline);
     daemon.finish();
     section_reader fleet(file, "fleet", found);
-    config.seeds = read_seeds(fleet);
+    if (file.section("fleet").contains("seeds"))
+        config.seeds = read_seeds(fleet);
     config.link_port = static_cast<std::uint16_t>(
         fleet.number("link_port", 1, max_port_number,
                      config.seeds.empty() ? std::optional<std::uint32_t>{0} : std::nullopt));
