Test the packet decisions, the platform's forms and the planning of control hosts

Ruled out: testing them through processes only; each decision is a value in and out.

Two changes with them: a balancer without a configuration keeps packets for 1.5 s instead of dropping them, and the first election after a start comes after 200 to 400 ms instead of 600 to 1200 ms.

--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,6 +39,10 @@
     std::size_t max_searches = 4096;
     duration hint_lifetime = std::chrono::seconds{90}; // above a flow's longest life
     std::size_t max_hints = 200000;
+    // Packets that come before the first configuration wait for it this long: callers repeat them
+    // at ever longer intervals, so one that is dropped costs more than the wait.
+    duration early_patience = std::chrono::milliseconds{1500};
+    std::size_t max_early_packets = 2048;
     duration suspicion = std::chrono::seconds{1}; // an agent that did not answer is avoided
 };
 
@@ -74,6 +79,7 @@
     delivered,
     searching,
     found,
+    early, // before the first configuration
     no_route,
     no_upstream,
     nobody_takes,
@@ -92,7 +98,8 @@
   public:
     packet_router(packet_router_options options, time_point now);
 
-    void set_view(time_point now, router_view view);
+    // Packets that waited for the first configuration go on their way.
+    router_output set_view(time_point now, router_view view);
     router_output on_packet(time_point now, packet_head const& head, std::string packet);
     router_output on_notice(time_point now, endpoint agent, flow_notice const& notice);
     router_output on_tick(time_point now);
@@ -121,11 +128,18 @@
         std::uint32_t expected = 0;       // sequence number that the caller waits for
         time_point deadline{};
     };
+    struct early_packet {
+        packet_head head;
+        std::string packet;
+        time_point came{};
+    };
     struct known_agent {
         std::string service;
         std::optional<time_point> left; // when it left the view
     };
 
+    void route_packet(time_point now, packet_head const& head, std::string packet);
+    void keep_early(time_point now, packet_head const& head, std::string packet);
     void open_flow(time_point now, packet_head const& head, std::string packet);
     void place(time_point now, packet_flow const& flow, opening& open);
     void start_search(time_point now, packet_flow const& flow, std::string packet,
@@ -154,6 +168,7 @@
     absl::flat_hash_map<packet_flow, search> searches_;  // at most max_searches
     std::map<endpoint, time_point> suspected_;           // until when
     std::map<endpoint, known_agent> agents_;             // in the view, or remembered
+    std::deque<early_packet> early_; // oldest first; empty once a configuration is in force
     time_point next_sweep_{};
     router_output output_;
 };
--- a/include/toucanusher/process/replicated_log.h
+++ b/include/toucanusher/process/replicated_log.h
@@ -27,6 +27,9 @@
     duration heartbeat_interval = std::chrono::milliseconds{50};
     // A follower that hears no leader for this long, doubled at most by chance, seeks election.
     duration election_timeout = std::chrono::milliseconds{300};
+    // The same for the first election after a start; nothing: as any other. A leader that lives is
+    // heard before, and its followers refuse the preliminary vote.
+    std::optional<duration> first_election_timeout;
     std::size_t max_entries_per_message = 256;
     std::size_t kept_entries_after_snapshot = 1024; // serve slow followers without a snapshot
 };
@@ -134,6 +137,7 @@
     void confirm_reads();
     void fail_reads();
     void reset_election_timer(time_point now);
+    void reset_election_timer(time_point now, duration timeout);
     void refresh_members();
     void send(host_id to, log_message_body body, hold_until hold);
     void write_state();
--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -32,6 +32,8 @@
 // A process that competes with others for part of a core can stall for a tenth of a second.
 constexpr duration automatic_heartbeat = std::chrono::milliseconds{100};
 constexpr duration automatic_election = std::chrono::milliseconds{600};
+// After a start nothing is served before a leader is there; two heartbeats tell if one lives.
+constexpr duration automatic_first_election = std::chrono::milliseconds{200};
 
 struct received_bytes {
     link_peer peer{};
@@ -143,6 +145,7 @@
             options.self_address = automatic->listen;
             options.log.heartbeat_interval = automatic_heartbeat;
             options.log.election_timeout = automatic_election;
+            options.log.first_election_timeout = automatic_first_election;
         }
         return options;
     }
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -131,7 +131,7 @@
                                       .add("routes", news.state->routes()->routes.size())
                                       .add("version", value_of(news.state->version())));
         state_ = std::move(news.state);
-        router_.set_view(now, make_view(*state_));
+        carry_out(router_.set_view(now, make_view(*state_)));
     }
 
     void on_event(time_point now, received& in) {
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -55,6 +55,8 @@
         return "searching";
     case router_event::found:
         return "found";
+    case router_event::early:
+        return "early";
     case router_event::no_route:
         return "no_route";
     case router_event::no_upstream:
@@ -75,7 +77,7 @@
     : options_(std::move(options)), view_{std::make_shared<configuration const>(), {}},
       index_(*view_.routes), next_sweep_(now + sweep_interval) {}
 
-void packet_router::set_view(time_point now, router_view view) {
+router_output packet_router::set_view(time_point now, router_view view) {
     if (view.routes != view_.routes) {
         std::map<endpoint, std::vector<std::string>> kept;
         for (route const& item : view.routes->routes) {
@@ -96,15 +98,35 @@
         return item.second.left && now - *item.second.left > options_.remember_upstreams;
     });
     view_ = std::move(view);
+    if (view_.routes->number > 0)
+        for (early_packet& kept : std::exchange(early_, {}))
+            if (now - kept.came <= options_.early_patience)
+                route_packet(now, kept.head, std::move(kept.packet));
+    return finish();
 }
 
 router_output packet_router::on_packet(time_point now, packet_head const& head,
                                        std::string packet) {
+    if (view_.routes->number == 0)
+        keep_early(now, head, std::move(packet));
+    else
+        route_packet(now, head, std::move(packet));
+    return finish();
+}
+
+void packet_router::keep_early(time_point now, packet_head const& head, std::string packet) {
+    note(router_event::early, head.flow);
+    if (early_.size() >= options_.max_early_packets)
+        early_.pop_front();
+    early_.push_back({head, std::move(packet), now});
+}
+
+void packet_router::route_packet(time_point now, packet_head const& head, std::string packet) {
     bool const opens = head.opens && !head.acknowledges;
     // Even a flow that is known here is not served once its route is gone.
     if (!index_.find(head.flow.route)) {
         note(router_event::no_route, head.flow);
-        return finish();
+        return;
     }
     auto const known = hints_.find(head.flow);
     if (known != hints_.end())
@@ -112,14 +134,13 @@
     else if (opens)
         open_flow(now, head, std::move(packet));
     else if (head.resets)
-        return finish(); // whoever holds the flow forgets it when it is idle
+        return; // whoever holds the flow forgets it when it is idle
     else if (auto const search = searches_.find(head.flow); search == searches_.end())
         start_search(now, head.flow, std::move(packet), head.acknowledged, {});
     else if (search->second.parked.size() < options_.max_parked_packets)
         search->second.parked.push_back(std::move(packet));
     else
         note(router_event::overflow, head.flow);
-    return finish();
 }
 
 router_output packet_router::on_notice(time_point now, endpoint agent, flow_notice const& notice) {
@@ -232,6 +253,8 @@
     }
     auto const [at, added] = openings_.try_emplace(head.flow);
     opening& open = at->second;
+    if (!added && now < open.deadline)
+        return; // an attempt is under way
     open.packet = std::move(packet);
     open.copies = head.acknowledged;
     if (added) {
--- a/src/process/replicated_log.cpp
+++ b/src/process/replicated_log.cpp
@@ -26,7 +26,7 @@
       synced_index_(snapshot_.index + entries_.size()),
       last_leader_contact_(now - 2 * options.election_timeout) {
     refresh_members();
-    reset_election_timer(now);
+    reset_election_timer(now, options.first_election_timeout.value_or(options.election_timeout));
 }
 
 log_output replicated_log::on_tick(time_point now) {
@@ -450,9 +450,13 @@
 }
 
 void replicated_log::reset_election_timer(time_point now) {
+    reset_election_timer(now, options_.election_timeout);
+}
+
+void replicated_log::reset_election_timer(time_point now, duration timeout) {
     auto const spread = static_cast<duration::rep>(
-        random_() % static_cast<std::uint64_t>(options_.election_timeout.count()));
-    election_deadline_ = now + options_.election_timeout + duration{spread};
+        random_() % static_cast<std::uint64_t>(timeout.count()));
+    election_deadline_ = now + timeout + duration{spread};
 }
 
 void replicated_log::refresh_members() {
--- /dev/null
+++ b/tests/packet_router_test.cpp
@@ -0,0 +1,210 @@
+// A balancer's decisions about packets: services, candidates, hints, searches and refusals.
+#include "toucanusher/connection/packet_router.h"
+
+#include <set>
+
+#include <doctest/doctest.h>
+
+namespace toucanusher {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{std::chrono::hours{1}};
+constexpr endpoint route_address{200, 443};
+constexpr packet_flow flow_a{{1, 1000}, route_address};
+constexpr endpoint first_agent{10, 100};
+constexpr endpoint second_agent{11, 100};
+constexpr endpoint art_agent{30, 100};
+
+packet_head head_of(packet_flow const& flow, bool opens) {
+    packet_head head;
+    head.flow = flow;
+    head.opens = opens;
+    head.acknowledges = !opens;
+    head.acknowledged = opens ? 0 : 900;
+    head.data_bytes = opens ? 0 : 5;
+    return head;
+}
+
+std::shared_ptr<configuration const> make_routes(std::uint64_t number,
+                                                 std::vector<weighted_service> split) {
+    configuration made;
+    made.number = number;
+    made.services = {{"batch", "/", 10, ""}, {"artwork", "/", 10, ""}};
+    route item;
+    item.name = "r";
+    item.address = route_address;
+    item.timeout = seconds{1};
+    item.split = std::move(split);
+    made.routes = {item};
+    return std::make_shared<configuration const>(std::move(made));
+}
+
+router_view make_view(std::shared_ptr<configuration const> routes) {
+    return {std::move(routes),
+            {{"batch", {{"u1", first_agent, "a", false}, {"u2", second_agent, "a", false}}},
+             {"artwork", {{"u3", art_agent, "a", false}}}}};
+}
+
+packet_router make_router(std::vector<weighted_service> split = {{"batch", 1}}) {
+    packet_router_options options;
+    options.self = {5, 5};
+    packet_router router(options, start);
+    (void)router.set_view(start, make_view(make_routes(1, std::move(split))));
+    return router;
+}
+
+std::vector<carry_to_agent> carried(router_output const& output) {
+    std::vector<carry_to_agent> found;
+    for (router_action const& action : output.actions)
+        if (auto const* body = std::get_if<carry_to_agent>(&action))
+            found.push_back(*body);
+    return found;
+}
+
+std::vector<refuse_flow> refused(router_output const& output) {
+    std::vector<refuse_flow> found;
+    for (router_action const& action : output.actions)
+        if (auto const* body = std::get_if<refuse_flow>(&action))
+            found.push_back(*body);
+    return found;
+}
+
+std::set<endpoint> agents_of(router_output const& output) {
+    std::set<endpoint> agents;
+    for (carry_to_agent const& out : carried(output))
+        agents.insert(out.agent);
+    return agents;
+}
+
+flow_notice notice_of(flow_report report, packet_flow const& flow = flow_a) {
+    return {report, flow, 900, {}};
+}
+
+} // namespace
+
+TEST_CASE("a new flow goes to a candidate of its service, later packets where it is held") {
+    packet_router router = make_router();
+    auto const placed = carried(router.on_packet(start, head_of(flow_a, true), "opening"));
+    REQUIRE(placed.size() == 1);
+    CHECK(placed[0].message.purpose == carry_purpose::open);
+    CHECK(placed[0].message.service == "batch");
+    CHECK(placed[0].message.candidates.size() == 1);
+    (void)router.on_notice(start, second_agent, notice_of(flow_report::held));
+    auto const sent = carried(router.on_packet(start, head_of(flow_a, false), "data"));
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].agent == second_agent);
+    CHECK(sent[0].message.purpose == carry_purpose::deliver);
+}
+
+TEST_CASE("an opening packet that is not placed goes to candidates that were not asked") {
+    packet_router router = make_router();
+    auto const first = carried(router.on_packet(start, head_of(flow_a, true), "opening"));
+    // A copy changes nothing while the attempt is under way.
+    CHECK(carried(router.on_packet(start + milliseconds{5}, head_of(flow_a, true), "copy")).empty());
+    auto const again = carried(router.on_tick(start + milliseconds{70}));
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].agent != first[0].agent);
+    (void)router.on_notice(start + milliseconds{71}, again[0].agent, notice_of(flow_report::held));
+    CHECK(carried(router.on_tick(start + seconds{1})).empty());
+}
+
+TEST_CASE("a flow whose hint is lost is searched, first in its services, then in all") {
+    packet_router router = make_router();
+    auto const near = router.on_packet(start, head_of(flow_a, false), "data");
+    CHECK(agents_of(near) == std::set<endpoint>{first_agent, second_agent});
+    auto const wide = router.on_tick(start + milliseconds{50});
+    CHECK(agents_of(wide) == std::set<endpoint>{art_agent});
+    (void)router.on_packet(start + milliseconds{51}, head_of(flow_a, false), "more");
+    auto const found = carried(
+        router.on_notice(start + milliseconds{52}, art_agent, notice_of(flow_report::held)));
+    REQUIRE(found.size() == 1); // the parked one; the first was delivered by the agent
+    CHECK(found[0].message.packet == "more");
+    CHECK(found[0].message.service == "artwork");
+}
+
+TEST_CASE("a caller is told that its flow is over only when every agent denies it") {
+    packet_router router = make_router();
+    (void)router.on_packet(start, head_of(flow_a, false), "data");
+    CHECK(refused(router.on_notice(start, first_agent, notice_of(flow_report::not_held))).empty());
+    auto const wide = router.on_notice(start, second_agent, notice_of(flow_report::not_held));
+    CHECK(refused(wide).empty());
+    CHECK(agents_of(wide) == std::set<endpoint>{art_agent});
+    auto const over = refused(router.on_notice(start, art_agent, notice_of(flow_report::not_held)));
+    REQUIRE(over.size() == 1);
+    CHECK(over[0].sequence == 900);
+}
+
+TEST_CASE("an upstream that left the state a moment ago is still asked, and its silence counts") {
+    packet_router router = make_router();
+    router_view view = make_view(make_routes(1, {{"batch", 1}}));
+    view.upstreams["batch"].pop_back();
+    (void)router.set_view(start, view);
+    auto const near = router.on_packet(start + seconds{1}, head_of(flow_a, false), "data");
+    CHECK(agents_of(near) == std::set<endpoint>{first_agent, second_agent});
+    (void)router.on_notice(start + seconds{1}, first_agent, notice_of(flow_report::not_held));
+    (void)router.on_tick(start + seconds{1} + milliseconds{50});
+    (void)router.on_notice(start + seconds{1}, art_agent, notice_of(flow_report::not_held));
+    auto const end = router.on_tick(start + seconds{1} + milliseconds{100});
+    CHECK(refused(end).empty());
+}
+
+TEST_CASE("a route that moved to another service keeps its open flows where they are") {
+    packet_router router = make_router({{"artwork", 1}});
+    (void)router.set_view(start, make_view(make_routes(2, {{"batch", 1}})));
+    auto const asked = agents_of(router.on_packet(start, head_of(flow_a, false), "data"));
+    CHECK(asked.contains(art_agent));
+}
+
+TEST_CASE("a dropped route serves nothing, not even flows that are known") {
+    packet_router router = make_router();
+    (void)router.on_notice(start, first_agent, notice_of(flow_report::held));
+    auto empty = std::make_shared<configuration>();
+    empty->number = 9;
+    (void)router.set_view(start, {empty, {}});
+    CHECK(router.on_packet(start, head_of(flow_a, false), "data").actions.empty());
+    CHECK(router.on_packet(start, head_of(flow_a, true), "opening").actions.empty());
+}
+
+TEST_CASE("packets that come before the first configuration wait for it") {
+    packet_router_options options;
+    packet_router router(options, start);
+    (void)router.on_packet(start, head_of(flow_a, true), "stale");
+    time_point const later = start + seconds{2};
+    packet_flow const fresh{{7, 7}, route_address};
+    CHECK(router.on_packet(later, head_of(fresh, true), "opening").actions.empty());
+    CHECK(router.on_packet(later, head_of(fresh, true), "copy").actions.empty());
+    auto const out = carried(router.set_view(later, make_view(make_routes(1, {{"batch", 1}}))));
+    REQUIRE(out.size() == 1);
+    CHECK(out[0].message.packet == "opening");
+}
+
+TEST_CASE("only the first opening packet is refused aloud") {
+    packet_router router = make_router();
+    (void)router.on_packet(start, head_of(flow_a, true), "opening");
+    CHECK(refused(router.on_notice(start, first_agent, notice_of(flow_report::nobody_takes)))
+              .size() == 1);
+    packet_head copy = head_of(flow_a, true);
+    copy.acknowledged = 1;
+    (void)router.on_packet(start + seconds{1}, copy, "copy");
+    CHECK(refused(router.on_notice(start + seconds{1}, first_agent,
+                                   notice_of(flow_report::nobody_takes)))
+              .empty());
+}
+
+TEST_CASE("new flows follow the weights, each of them always the same way") {
+    packet_router router = make_router({{"batch", 90}, {"artwork", 10}});
+    int artwork = 0;
+    for (std::uint16_t port = 1; port <= 2000; ++port) {
+        packet_flow const flow{{1, port}, route_address};
+        auto const out = carried(router.on_packet(start, head_of(flow, true), "opening"));
+        REQUIRE(out.size() == 1);
+        artwork += out[0].message.service == "artwork" ? 1 : 0;
+    }
+    CHECK(artwork > 140);
+    CHECK(artwork < 260);
+}
+
+} // namespace toucanusher
--- /dev/null
+++ b/tests/route_book_test.cpp
@@ -0,0 +1,149 @@
+// Configurations as edits of one another, what makes them invalid, and who is answered when.
+#include "toucanusher/version/route_book.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "src/version/fleet_codec.h"
+#include "toucanusher/version/configuration_queue.h"
+#include "toucanusher/version/fleet_state.h"
+
+namespace toucanusher {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point start{std::chrono::hours{1}};
+
+route make_route(std::uint32_t index, milliseconds timeout = milliseconds{100}) {
+    route made;
+    made.name = "r" + std::to_string(index);
+    made.address = {index, 443};
+    made.timeout = timeout;
+    made.split = {{"s", 1}};
+    made.document = "document of route " + std::to_string(index);
+    return made;
+}
+
+configuration make_configuration(std::uint64_t number, std::uint32_t routes) {
+    configuration made;
+    made.number = number;
+    made.services = {{"s", "/", 5, "document of s"}};
+    for (std::uint32_t i = 1; i <= routes; ++i)
+        made.routes.push_back(make_route(i));
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("an edit turns any configuration into any later one") {
+    rc::check([](std::vector<std::uint8_t> const& before, std::vector<std::uint8_t> const& after) {
+        configuration from = make_configuration(3, 0);
+        configuration to = make_configuration(9, 0);
+        for (std::uint8_t const index : before)
+            from.routes.push_back(make_route(index % 16U, milliseconds{1 + index / 16}));
+        for (std::uint8_t const index : after)
+            to.routes.push_back(make_route(index % 16U, milliseconds{1 + index / 16}));
+        auto const made = apply_edit(from, make_edit(from, to));
+        RC_ASSERT(made.has_value());
+        RC_ASSERT(*made == to);
+    });
+}
+
+TEST_CASE("the size of an edit follows what changed") {
+    configuration const from = make_configuration(1, 450);
+    configuration to = from;
+    to.number = 2;
+    to.routes[200].timeout = milliseconds{5};
+    std::string const edit = encode_fleet_command(make_edit(from, to));
+    CHECK(edit.size() < 400);
+    to.routes.push_back(make_route(900));
+    to.routes.erase(to.routes.begin() + 10);
+    CHECK(encode_fleet_command(make_edit(from, to)).size() < 800);
+}
+
+TEST_CASE("an edit for another base or a quieter one changes nothing") {
+    configuration const one = make_configuration(1, 2);
+    configuration const two = make_configuration(2, 3);
+    configuration const three = make_configuration(3, 4);
+    CHECK_FALSE(apply_edit(one, make_edit(two, three)));
+    CHECK_FALSE(apply_edit(two, make_edit(two, one)));
+    CHECK_FALSE(apply_edit(two, make_edit(two, two)));
+    edit_configuration beyond = make_edit(one, two);
+    beyond.routes = {{.first = 1, .count = 9, .added = {}}};
+    CHECK_FALSE(apply_edit(one, beyond));
+}
+
+TEST_CASE("the state keeps a configuration through its snapshot") {
+    fleet_state state;
+    configuration const wanted = make_configuration(7, 3);
+    state.apply(make_edit(*state.routes(), wanted));
+    auto const copy = decode_fleet_state(encode_fleet_state(state));
+    REQUIRE(copy.ok());
+    CHECK(*copy->routes() == wanted);
+}
+
+TEST_CASE("an invalid configuration is reported with every place") {
+    configuration bad = make_configuration(1, 4);
+    bad.routes[1].address = bad.routes[0].address;
+    bad.routes[2].timeout = milliseconds{0};
+    bad.routes[3].split = {{"unknown", 1}};
+    CHECK(check_configuration(bad, "x").items().size() == 3);
+    bad.routes[3].split = {{"s", 0}};
+    CHECK(check_configuration(bad, "x").items().size() == 3);
+    bad.routes[3].split.clear();
+    CHECK(check_configuration(bad, "x").items().size() == 3);
+    CHECK(check_configuration(make_configuration(1, 4), "x").empty());
+}
+
+TEST_CASE("the loudest waiting configuration is proposed, quieter ones are settled by it") {
+    configuration_queue queue(milliseconds{850});
+    configuration current = make_configuration(1, 1);
+    queue.add(start, 11, make_configuration(5, 2));
+    queue.add(start, 12, make_configuration(8, 3));
+    queue.add(start, 13, make_configuration(1, 3));
+    auto const edit = queue.next(current);
+    REQUIRE(edit);
+    CHECK(edit->number == 8);
+    queue.proposed(start, true);
+    CHECK_FALSE(queue.next(current)); // one at a time
+    auto const old = queue.answer(start, current);
+    REQUIRE(old.size() == 1); // what is not louder than the one in force is accepted again
+    CHECK(old[0].call == 13);
+    current = *apply_edit(current, *edit);
+    queue.settled();
+    auto const done = queue.answer(start, current);
+    CHECK(done.size() == 2);
+    for (configuration_answer const& answer : done)
+        CHECK(answer.verdict == configuration_verdict::accepted);
+}
+
+TEST_CASE("an edit that found another base is made anew") {
+    configuration_queue queue(milliseconds{850});
+    configuration current = make_configuration(1, 1);
+    queue.add(start, 1, make_configuration(9, 3));
+    auto const stale = queue.next(current);
+    queue.proposed(start, true);
+    current = make_configuration(4, 2); // another leader's change came first
+    CHECK_FALSE(apply_edit(current, *stale));
+    queue.settled();
+    auto const fresh = queue.next(current);
+    REQUIRE(fresh);
+    CHECK(apply_edit(current, *fresh) == make_configuration(9, 3));
+}
+
+TEST_CASE("a caller that waited too long is not told a lie") {
+    configuration_queue queue(milliseconds{850});
+    configuration const current = make_configuration(1, 1);
+    queue.add(start, 1, make_configuration(9, 3));
+    CHECK(queue.answer(start + milliseconds{800}, current).empty());
+    auto const late = queue.answer(start + milliseconds{900}, current);
+    REQUIRE(late.size() == 1);
+    CHECK(late[0].verdict == configuration_verdict::unavailable);
+    queue.add(start, 2, make_configuration(9, 3));
+    auto const lost = queue.give_up();
+    REQUIRE(lost.size() == 1);
+    CHECK(lost[0].verdict == configuration_verdict::unavailable);
+}
+
+} // namespace toucanusher
--- /dev/null
+++ b/tests/upstream_flows_test.cpp
@@ -0,0 +1,234 @@
+// An agent's decisions about the flows of its upstream: placing, finding after a restart, ends.
+#include "toucanusher/connection/upstream_flows.h"
+
+#include <doctest/doctest.h>
+
+namespace toucanusher {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{std::chrono::hours{1}};
+constexpr endpoint own_address{10, 100};
+constexpr endpoint other_agent{11, 100};
+constexpr endpoint third_agent{12, 100};
+constexpr endpoint balancer{20, 7};
+constexpr packet_flow flow_a{{1, 1000}, {200, 443}};
+constexpr packet_flow flow_b{{2, 1000}, {200, 443}};
+
+packet_head head_of(packet_flow const& flow, std::uint16_t data = 0) {
+    packet_head head;
+    head.flow = flow;
+    head.acknowledges = true;
+    head.acknowledged = 77;
+    head.data_bytes = data;
+    return head;
+}
+
+packet_head opening_head(packet_flow const& flow) {
+    packet_head head;
+    head.flow = flow;
+    head.opens = true;
+    return head;
+}
+
+packet_head from_upstream(packet_flow const& flow, bool opens, std::uint16_t data = 0) {
+    packet_head head = head_of(flow, data);
+    head.direction = packet_direction::to_caller;
+    head.opens = opens;
+    return head;
+}
+
+packet_head returned_head(packet_flow const& flow, bool opens) {
+    packet_head head = opens ? opening_head(flow) : head_of(flow, 10);
+    head.returned = true;
+    return head;
+}
+
+carried_packet opening_packet(std::vector<endpoint> candidates, std::uint32_t offers) {
+    carried_packet message;
+    message.purpose = carry_purpose::open;
+    message.service = "batch";
+    message.origin = balancer;
+    message.candidates = std::move(candidates);
+    message.offers_wanted = offers;
+    message.packet = "opening";
+    return message;
+}
+
+carried_packet known_packet(carry_purpose purpose = carry_purpose::deliver) {
+    carried_packet message;
+    message.purpose = purpose;
+    message.service = "batch";
+    message.origin = balancer;
+    message.packet = "data";
+    return message;
+}
+
+template <typename Action>
+std::vector<Action> actions_of(agent_output const& output) {
+    std::vector<Action> found;
+    for (agent_action const& action : output.actions)
+        if (auto const* body = std::get_if<Action>(&action))
+            found.push_back(*body);
+    return found;
+}
+
+upstream_flows make_flows(bool complete = true) {
+    upstream_flows_options options;
+    options.service = "batch";
+    options.self = own_address;
+    upstream_flows flows(options, start);
+    flows.set_upstream(3, true, start);
+    if (complete)
+        flows.set_complete(start);
+    return flows;
+}
+
+void open(upstream_flows& flows, packet_flow const& flow, time_point now = start) {
+    (void)flows.on_carried(now, opening_head(flow), opening_packet({}, 1));
+    (void)flows.on_upstream_packet(now, from_upstream(flow, true), "agreed");
+}
+
+} // namespace
+
+TEST_CASE("a new flow goes to the less loaded of two agents") {
+    upstream_flows flows = make_flows();
+    auto const first =
+        flows.on_carried(start, opening_head(flow_a), opening_packet({other_agent}, 2));
+    auto const passed = actions_of<pass_on_packet>(first);
+    REQUIRE(passed.size() == 1);
+    CHECK(passed[0].agent == other_agent);
+    REQUIRE(passed[0].message.best);
+    CHECK(passed[0].message.best->agent == own_address);
+    CHECK(passed[0].message.offers_wanted == 1);
+
+    carried_packet last = opening_packet({}, 1);
+    last.best = load_offer{other_agent, load_level{5}};
+    CHECK(actions_of<deliver_packet>(flows.on_carried(start, opening_head(flow_a), last)).size() ==
+          1);
+    open(flows, flow_b);
+    (void)flows.on_carried(start, head_of(flow_b, 10), known_packet());
+    packet_flow const third{{3, 1}, {200, 443}};
+    auto const back = actions_of<pass_on_packet>(flows.on_carried(start, opening_head(third), last));
+    REQUIRE(back.size() == 1);
+    CHECK(back[0].agent == other_agent);
+    CHECK(back[0].message.offers_wanted == 0);
+}
+
+TEST_CASE("a draining upstream takes no new flow and keeps its old ones") {
+    upstream_flows flows = make_flows();
+    open(flows, flow_a);
+    flows.set_upstream(3, false, start);
+    auto const passed = actions_of<pass_on_packet>(
+        flows.on_carried(start, opening_head(flow_b), opening_packet({other_agent}, 2)));
+    CHECK(passed.size() == 1);
+    CHECK(actions_of<deliver_packet>(flows.on_carried(start, head_of(flow_a, 5), known_packet()))
+              .size() == 1);
+    auto const refused = actions_of<notify_balancer>(
+        flows.on_carried(start, opening_head(flow_b), opening_packet({}, 0)));
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].notice.report == flow_report::nobody_takes);
+}
+
+TEST_CASE("packets for another service are never delivered") {
+    upstream_flows flows = make_flows();
+    carried_packet message = known_packet();
+    message.service = "artwork";
+    auto const output = flows.on_carried(start, head_of(flow_a, 5), message);
+    CHECK(actions_of<deliver_packet>(output).empty());
+    REQUIRE(actions_of<notify_balancer>(output).size() == 1);
+    CHECK(actions_of<notify_balancer>(output)[0].notice.report == flow_report::other_service);
+    carried_packet opening = opening_packet({third_agent}, 2);
+    opening.service = "artwork";
+    CHECK(actions_of<pass_on_packet>(flows.on_carried(start, opening_head(flow_a), opening))
+              .size() == 1);
+}
+
+TEST_CASE("an opening packet that the upstream returns or leaves unanswered is passed on") {
+    upstream_flows flows = make_flows();
+    (void)flows.on_carried(start, opening_head(flow_a), opening_packet({other_agent}, 1));
+    auto const returned = flows.on_upstream_packet(start, returned_head(flow_a, true), "opening");
+    CHECK(actions_of<pass_on_packet>(returned).size() == 1);
+
+    (void)flows.on_carried(start, opening_head(flow_b), opening_packet({third_agent}, 1));
+    REQUIRE(flows.next_due());
+    CHECK(flows.on_tick(start + milliseconds{10}).actions.empty());
+    auto const late = actions_of<pass_on_packet>(flows.on_tick(start + milliseconds{40}));
+    REQUIRE(late.size() == 1);
+    CHECK(late[0].agent == third_agent);
+    // Until it speaks again, others take new flows at once.
+    CHECK(actions_of<deliver_packet>(flows.on_carried(start + milliseconds{41},
+                                                      opening_head(flow_a),
+                                                      opening_packet({third_agent}, 1)))
+              .empty());
+}
+
+TEST_CASE("after a start beside a living upstream, the upstream tells which flows it holds") {
+    upstream_flows flows = make_flows(false);
+    auto const tried = flows.on_carried(start, head_of(flow_a, 5), known_packet(carry_purpose::search));
+    CHECK(actions_of<deliver_packet>(tried).size() == 1);
+    CHECK(actions_of<notify_balancer>(tried).empty());
+    auto const found = flows.on_upstream_packet(start, from_upstream(flow_a, false, 100), "answer");
+    REQUIRE(actions_of<notify_balancer>(found).size() == 1);
+    CHECK(actions_of<notify_balancer>(found)[0].notice.report == flow_report::held);
+    CHECK(actions_of<answer_caller>(found).size() == 1);
+
+    (void)flows.on_carried(start, head_of(flow_b, 5), known_packet(carry_purpose::search));
+    auto const gone = flows.on_upstream_packet(start, returned_head(flow_b, false), "data");
+    REQUIRE(actions_of<notify_balancer>(gone).size() == 1);
+    CHECK(actions_of<notify_balancer>(gone)[0].notice.report == flow_report::not_held);
+    CHECK(actions_of<reset_flow>(gone).empty()); // it may live elsewhere
+}
+
+TEST_CASE("a bare acknowledgement does not prove that a flow is held") {
+    upstream_flows flows = make_flows(false);
+    (void)flows.on_carried(start, head_of(flow_a, 5), known_packet(carry_purpose::search));
+    auto const answer = flows.on_upstream_packet(start, from_upstream(flow_a, false), "ack");
+    CHECK(actions_of<notify_balancer>(answer).empty());
+    CHECK(actions_of<answer_caller>(answer).size() == 1);
+    // Its later return is no reason for a reset either.
+    CHECK(actions_of<reset_flow>(
+              flows.on_upstream_packet(start, returned_head(flow_a, false), "data"))
+              .empty());
+}
+
+TEST_CASE("flows of an ended life are reset at once, others never") {
+    upstream_flows flows = make_flows();
+    open(flows, flow_a);
+    (void)flows.on_carried(start, head_of(flow_a, 5), known_packet());
+    auto const resets = actions_of<reset_flow>(flows.on_life_ended(start + seconds{1}));
+    REQUIRE(resets.size() == 1);
+    CHECK(resets[0].flow == flow_a);
+    CHECK(resets[0].sequence == 77);
+    CHECK(flows.open_flows() == 0);
+    CHECK(flows.waiting_flows() == 0);
+    // The table of the new life is complete: unknown flows are denied without asking.
+    auto const unknown = flows.on_carried(start + seconds{1}, head_of(flow_b, 5), known_packet());
+    CHECK(actions_of<deliver_packet>(unknown).empty());
+    REQUIRE(actions_of<notify_balancer>(unknown).size() == 1);
+    CHECK(actions_of<notify_balancer>(unknown)[0].notice.report == flow_report::not_held);
+}
+
+TEST_CASE("an open flow that its own upstream returns is over") {
+    upstream_flows flows = make_flows();
+    open(flows, flow_a);
+    auto const output = flows.on_upstream_packet(start, returned_head(flow_a, false), "data");
+    CHECK(actions_of<reset_flow>(output).size() == 1);
+}
+
+TEST_CASE("load follows work in progress and forgets it") {
+    upstream_flows flows = make_flows();
+    open(flows, flow_a);
+    auto const idle = flows.load(start);
+    (void)flows.on_carried(start, head_of(flow_a, 5), known_packet());
+    CHECK(flows.waiting_flows() == 1);
+    CHECK(flows.load(start) > idle);
+    CHECK(flows.load(start + seconds{2}) > flows.load(start));
+    (void)flows.on_upstream_packet(start + seconds{2}, from_upstream(flow_a, false, 50), "answer");
+    CHECK(flows.waiting_flows() == 0);
+    CHECK(flows.load(start + seconds{12}) <= idle);
+}
+
+} // namespace toucanusher
