Reset no flow that its caller opened elsewhere

Cause: an upstream that agreed late to open a flow, after another had, was taken for its holder by its own agent; when it returned the caller's packets the agent reset a flow that lived elsewhere.

Ruled out: searches (no such flow was searched), ends of lives (none ended in those seconds).

Change: a flow is held once the caller's next packet acknowledges this upstream's agreement, or the upstream has data for it. A packet that acknowledges another agreement goes back to be searched.

Conclusion: a reset needs a proof that includes the caller's choice.

--- a/include/toucanusher/connection/upstream_flows.h
+++ b/include/toucanusher/connection/upstream_flows.h
@@ -105,7 +105,13 @@
     [[nodiscard]] std::optional<time_point> next_due() const;
 
   private:
-    enum class flow_phase : std::uint8_t { opening, tried, open, closed };
+    enum class flow_phase : std::uint8_t {
+        opening, // the opening packet is with the upstream
+        agreed,  // the upstream agreed; the caller may still choose another that did
+        tried,   // it is not known whether the upstream holds the flow
+        open,    // it does
+        closed,
+    };
     struct flow {
         flow_phase phase = flow_phase::opening;
         bool waiting = false; // the caller's last data is not answered yet
@@ -114,6 +120,7 @@
         endpoint origin; // the balancer that brought it last
         time_point last_seen{};
         std::uint32_t caller_expects = 0;      // next sequence number towards the caller
+        std::uint32_t agreed_sequence = 0;     // of the upstream's agreement
         std::optional<carried_packet> opening; // while phase is opening: what to pass on
         time_point open_deadline{};
     };
@@ -121,6 +128,7 @@
     void open_flow(time_point now, packet_head const& head, carried_packet message);
     void take(time_point now, packet_head const& head, carried_packet message);
     void pass_on(packet_head const& head, carried_packet message);
+    bool chosen_elsewhere(time_point now, packet_head const& head, flow& known);
     void deliver(time_point now, packet_head const& head, flow& known, carried_packet message);
     void on_returned(time_point now, packet_head const& head, std::string packet);
     void note_caller_packet(time_point now, packet_head const& head, flow& known);
--- a/src/connection/upstream_flows.cpp
+++ b/src/connection/upstream_flows.cpp
@@ -59,8 +59,12 @@
                    head.acknowledged);
         return finish();
     }
-    auto const known = flows_.find(head.flow);
+    auto known = flows_.find(head.flow);
     bool const opens = head.opens && !head.acknowledges;
+    if (known != flows_.end() && chosen_elsewhere(now, head, known->second)) {
+        erase(now, head.flow);
+        known = flows_.end();
+    }
     if (known != flows_.end()) {
         deliver(now, head, known->second, std::move(message));
     } else if (opens) {
@@ -96,14 +100,14 @@
 
 agent_output upstream_flows::on_life_ended(time_point now) {
     for (auto const& [key, known] : flows_) {
-        if (known.phase == flow_phase::closed)
-            continue;
         if (known.phase == flow_phase::opening && known.opening) {
             packet_head head;
             head.flow = key;
             pass_on(head, *known.opening);
             continue;
         }
+        if (known.phase != flow_phase::open)
+            continue;
         note(flow_event::lost_flow, key);
         output_.actions.emplace_back(reset_flow{key, known.caller_expects});
     }
@@ -244,12 +248,24 @@
     note(flow_event::passed_on, head.flow);
 }
 
+// Several upstreams may have agreed to open a flow; the caller's next packet names the one whose
+// agreement it took. True if that is another.
+bool upstream_flows::chosen_elsewhere(time_point now, packet_head const& head, flow& known) {
+    if (known.phase != flow_phase::agreed || head.opens || !head.acknowledges)
+        return false;
+    // An agreement counts as one byte for some ends and as none for others.
+    if (head.acknowledged - known.agreed_sequence > 1)
+        return true;
+    set_phase(now, known, flow_phase::open);
+    return false;
+}
+
 void upstream_flows::deliver(time_point now, packet_head const& head, flow& known,
                              carried_packet message) {
     bool const moved = known.origin != message.origin;
     known.origin = message.origin;
     note_caller_packet(now, head, known);
-    bool const certain = known.phase == flow_phase::open || known.phase == flow_phase::closed;
+    bool const certain = known.phase == flow_phase::open;
     if (certain && (moved || message.purpose != carry_purpose::deliver))
         report(message.origin, flow_report::held, head.flow, {});
     output_.actions.emplace_back(deliver_packet{std::move(message.packet)});
@@ -291,7 +307,8 @@
     bool const first = known.phase == flow_phase::opening || known.phase == flow_phase::tried;
     if (first && proves) {
         known.opening.reset();
-        set_phase(now, known, flow_phase::open);
+        known.agreed_sequence = head.sequence;
+        set_phase(now, known, head.opens ? flow_phase::agreed : flow_phase::open);
         if (!known.origin.empty())
             report(known.origin, flow_report::held, head.flow, {});
     }
@@ -343,7 +360,7 @@
     next_sweep_ = now + sweep_interval;
     std::vector<packet_flow> gone;
     for (auto const& [key, known] : flows_) {
-        bool const brief = known.phase == flow_phase::closed || known.phase == flow_phase::tried;
+        bool const brief = known.phase != flow_phase::open && known.phase != flow_phase::opening;
         duration const kept = brief ? options_.closed_lifetime : options_.idle_lifetime;
         if (now - known.last_seen > kept)
             gone.push_back(key);
--- a/src/process/replicated_log.cpp
+++ b/src/process/replicated_log.cpp
@@ -454,8 +454,8 @@
 }
 
 void replicated_log::reset_election_timer(time_point now, duration timeout) {
-    auto const spread = static_cast<duration::rep>(
-        random_() % static_cast<std::uint64_t>(timeout.count()));
+    auto const spread =
+        static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(timeout.count()));
     election_deadline_ = now + timeout + duration{spread};
 }
 
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -103,7 +103,8 @@
     packet_router router = make_router();
     auto const first = carried(router.on_packet(start, head_of(flow_a, true), "opening"));
     // A copy changes nothing while the attempt is under way.
-    CHECK(carried(router.on_packet(start + milliseconds{5}, head_of(flow_a, true), "copy")).empty());
+    CHECK(
+        carried(router.on_packet(start + milliseconds{5}, head_of(flow_a, true), "copy")).empty());
     auto const again = carried(router.on_tick(start + milliseconds{70}));
     REQUIRE(again.size() == 1);
     CHECK(again[0].agent != first[0].agent);
--- a/tests/upstream_flows_test.cpp
+++ b/tests/upstream_flows_test.cpp
@@ -88,7 +88,10 @@
 
 void open(upstream_flows& flows, packet_flow const& flow, time_point now = start) {
     (void)flows.on_carried(now, opening_head(flow), opening_packet({}, 1));
-    (void)flows.on_upstream_packet(now, from_upstream(flow, true), "agreed");
+    packet_head agreement = from_upstream(flow, true);
+    agreement.sequence = 76;
+    (void)flows.on_upstream_packet(now, agreement, "agreed");
+    (void)flows.on_carried(now, head_of(flow), known_packet());
 }
 
 } // namespace
@@ -111,7 +114,8 @@
     open(flows, flow_b);
     (void)flows.on_carried(start, head_of(flow_b, 10), known_packet());
     packet_flow const third{{3, 1}, {200, 443}};
-    auto const back = actions_of<pass_on_packet>(flows.on_carried(start, opening_head(third), last));
+    auto const back =
+        actions_of<pass_on_packet>(flows.on_carried(start, opening_head(third), last));
     REQUIRE(back.size() == 1);
     CHECK(back[0].agent == other_agent);
     CHECK(back[0].message.offers_wanted == 0);
@@ -142,8 +146,9 @@
     CHECK(actions_of<notify_balancer>(output)[0].notice.report == flow_report::other_service);
     carried_packet opening = opening_packet({third_agent}, 2);
     opening.service = "artwork";
-    CHECK(actions_of<pass_on_packet>(flows.on_carried(start, opening_head(flow_a), opening))
-              .size() == 1);
+    CHECK(
+        actions_of<pass_on_packet>(flows.on_carried(start, opening_head(flow_a), opening)).size() ==
+        1);
 }
 
 TEST_CASE("an opening packet that the upstream returns or leaves unanswered is passed on") {
@@ -159,15 +164,16 @@
     REQUIRE(late.size() == 1);
     CHECK(late[0].agent == third_agent);
     // Until it speaks again, others take new flows at once.
-    CHECK(actions_of<deliver_packet>(flows.on_carried(start + milliseconds{41},
-                                                      opening_head(flow_a),
-                                                      opening_packet({third_agent}, 1)))
-              .empty());
+    CHECK(
+        actions_of<deliver_packet>(flows.on_carried(start + milliseconds{41}, opening_head(flow_a),
+                                                    opening_packet({third_agent}, 1)))
+            .empty());
 }
 
 TEST_CASE("after a start beside a living upstream, the upstream tells which flows it holds") {
     upstream_flows flows = make_flows(false);
-    auto const tried = flows.on_carried(start, head_of(flow_a, 5), known_packet(carry_purpose::search));
+    auto const tried =
+        flows.on_carried(start, head_of(flow_a, 5), known_packet(carry_purpose::search));
     CHECK(actions_of<deliver_packet>(tried).size() == 1);
     CHECK(actions_of<notify_balancer>(tried).empty());
     auto const found = flows.on_upstream_packet(start, from_upstream(flow_a, false, 100), "answer");
@@ -218,6 +224,29 @@
     CHECK(actions_of<reset_flow>(output).size() == 1);
 }
 
+// Replays a morning's reset of an open flow: a busy upstream agreed late, after another had, and
+// later returned the caller's packets.
+TEST_CASE("an upstream that agreed, but was not chosen, resets nothing") {
+    upstream_flows flows = make_flows();
+    (void)flows.on_carried(start, opening_head(flow_a), opening_packet({other_agent}, 1));
+    (void)flows.on_tick(start + milliseconds{40}); // passed on to the other agent
+    packet_head late = from_upstream(flow_a, true);
+    late.sequence = 5000;
+    (void)flows.on_upstream_packet(start + milliseconds{60}, late, "agreed");
+    auto const other =
+        flows.on_carried(start + milliseconds{70}, head_of(flow_a, 5), known_packet());
+    CHECK(actions_of<deliver_packet>(other).empty());
+    REQUIRE(actions_of<notify_balancer>(other).size() == 1);
+    CHECK(actions_of<notify_balancer>(other)[0].notice.report == flow_report::not_held);
+    CHECK(actions_of<notify_balancer>(other)[0].notice.packet == "data");
+    auto const returned =
+        flows.on_upstream_packet(start + milliseconds{80}, returned_head(flow_a, false), "data");
+    CHECK(actions_of<reset_flow>(returned).empty());
+    (void)flows.on_carried(start, opening_head(flow_b), opening_packet({}, 1));
+    (void)flows.on_upstream_packet(start, from_upstream(flow_b, true), "agreed");
+    CHECK(actions_of<reset_flow>(flows.on_life_ended(start + seconds{1})).empty());
+}
+
 TEST_CASE("load follows work in progress and forgets it") {
     upstream_flows flows = make_flows();
     open(flows, flow_a);
