Log to standard output from a duty of its own, bounded by kind

Cause: lines went to standard error from the deciding threads, without a bound for routine events.

Tools log to standard error, since their output is their answer.

--- a/include/toucanusher/process/event_line.h
+++ b/include/toucanusher/process/event_line.h
@@ -23,11 +23,14 @@
     event_line& add(std::string_view key, std::chrono::milliseconds value);
     [[nodiscard]] std::string const& text() const { return text_; }
     [[nodiscard]] std::string const& event() const { return event_; }
+    // The value of `what`, which tells lines of one event apart; empty if there is none.
+    [[nodiscard]] std::string const& kind() const { return kind_; }
 
   private:
     event_line& add_number(std::string_view key, std::string_view digits);
 
     std::string event_;
+    std::string kind_;
     std::string text_;
 };
 
--- a/programs/toucanusher.cpp
+++ b/programs/toucanusher.cpp
@@ -332,7 +332,7 @@
     } else if (toucanusher::initialize_crypto()) {
         std::string const name = words.front();
         words.erase(words.begin());
-        toucanusher::start_logging("toucanusher");
+        toucanusher::start_logging("toucanusher", toucanusher::log_stream::standard_error);
         code = toucanusher::run_command(name, {given, std::move(words)});
     }
     poptFreeContext(parser);
--- a/programs/toucanusherd.cpp
+++ b/programs/toucanusherd.cpp
@@ -247,7 +247,7 @@
         given.start = toucanusher::log_start::join;
     std::free(config);
     poptFreeContext(parser);
-    toucanusher::start_logging("toucanusherd");
+    toucanusher::start_logging("toucanusherd", toucanusher::log_stream::standard_output);
     if (!toucanusher::initialize_crypto())
         return toucanusher::exit_failed;
     return toucanusher::run(given);
--- a/src/process/event_line.cpp
+++ b/src/process/event_line.cpp
@@ -10,6 +10,8 @@
 }
 
 event_line& event_line::add(std::string_view key, std::string_view value) {
+    if (key == "what")
+        kind_ = value;
     absl::StrAppend(&text_, " ", absl::string_view(key.data(), key.size()), "=\"",
                     absl::CEscape(absl::string_view(value.data(), value.size())), "\"");
     return *this;
--- a/src/process/io/event_log.cpp
+++ b/src/process/io/event_log.cpp
@@ -5,38 +5,64 @@
 namespace toucanusher {
 
 namespace {
-constexpr duration repeat_interval = std::chrono::seconds{1};
+constexpr duration budget_interval = std::chrono::seconds{1};
 }
 
-void event_log::info(event_line const& line) {
-    LOG(INFO) << line.text();
+event_log::event_log(clock const& clock) : clock_(clock), queue_(queued_lines) {
+    writer_ = std::make_unique<duty>("log", [this] { write_queued(); });
 }
 
-void event_log::warning(event_line const& line) {
-    LOG(WARNING) << line.text();
+event_log::~event_log() {
+    queue_.close();
+    writer_.reset();
 }
 
-void event_log::error(event_line const& line) {
-    LOG(ERROR) << line.text();
+void event_log::write(severity level, event_line const& line, std::uint32_t limit) {
+    time_point const now = clock_.now();
+    std::string text = line.text();
+    {
+        std::lock_guard const lock(mutex_);
+        budget& kind = budgets_[{line.event(), line.kind()}];
+        if (now - kind.second_began >= budget_interval) {
+            kind.second_began = now;
+            kind.written = 0;
+        }
+        if (kind.written >= limit) {
+            ++kind.suppressed;
+            ++suppressed_;
+            return;
+        }
+        ++kind.written;
+        if (kind.suppressed > 0)
+            text += " suppressed=" + std::to_string(std::exchange(kind.suppressed, 0));
+    }
+    // Order across processes whose time of day may be stepped.
+    auto const since_boot =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    text += " boot_ms=" + std::to_string(since_boot.count());
+    if (!queue_.try_push({level, std::move(text)}))
+        ++suppressed_;
 }
 
-void event_log::limited(event_line line) {
-    std::lock_guard const lock(mutex_);
-    time_point const now = clock_.now();
-    auto const [at, first] = repeats_.try_emplace(line.event());
-    repeat& state = at->second;
-    if (!first && now - state.written < repeat_interval) {
-        ++state.suppressed;
-        return;
+void event_log::write_queued() {
+    while (auto const next = queue_.pop()) {
+        switch (next->level) {
+        case severity::info:
+            LOG(INFO) << next->text;
+            break;
+        case severity::warning:
+            LOG(WARNING) << next->text;
+            break;
+        case severity::error:
+            LOG(ERROR) << next->text;
+            break;
+        }
     }
-    if (state.suppressed > 0)
-        line.add("suppressed", state.suppressed);
-    state = {now, 0};
-    LOG(WARNING) << line.text();
 }
 
-void start_logging(char const* program) {
-    FLAGS_logtostderr = true;
+void start_logging(char const* program, log_stream to) {
+    FLAGS_logtostdout = to == log_stream::standard_output;
+    FLAGS_logtostderr = to == log_stream::standard_error;
     google::InitGoogleLogging(program);
 }
 
--- a/tools/fake_upstream.cpp
+++ b/tools/fake_upstream.cpp
@@ -301,6 +301,6 @@
     made.slots = static_cast<unsigned>(slots);
     made.service_time = std::chrono::milliseconds{service_time};
     poptFreeContext(parser);
-    start_logging("fake_upstream");
+    start_logging("fake_upstream", toucanusher::log_stream::standard_error);
     return initialize_crypto() ? tools::run(std::move(made)) : 1;
 }
--- a/tools/load_tool.cpp
+++ b/tools/load_tool.cpp
@@ -419,7 +419,7 @@
     made.body_bytes = static_cast<std::size_t>(body);
     made.duration_of_load = std::chrono::milliseconds{milliseconds};
     poptFreeContext(parser);
-    start_logging("load_tool");
+    start_logging("load_tool", toucanusher::log_stream::standard_error);
     if (!initialize_crypto())
         return 1;
     load_run run(std::move(made));
