Leave a silent control host at once; tell ends of flows where a route names all services

Ruled out: agents that do not answer (the log now names the first one; it was none), flow lifetimes.

Change: a link that has not answered yet is given up after 350 ms and asked every 150 ms; the replacement of the same host's link is left out, since the next host gets a new link anyway. A search whose second stage finds nobody to ask ends at once. Lines of flows name the agent; standard output is flushed when the queue of lines is empty.

--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -89,9 +89,16 @@
 };
 char const* to_string(router_event event);
 
+// One decision, for counters and logs.
+struct router_note {
+    router_event what = router_event::delivered;
+    packet_flow flow;
+    endpoint agent; // that was chosen, spoke, or did not answer; empty if none
+};
+
 struct router_output {
     std::vector<router_action> actions;
-    std::vector<std::pair<router_event, packet_flow>> events;
+    std::vector<router_note> notes;
 };
 
 class packet_router {
@@ -149,7 +156,7 @@
     void search_everywhere(time_point now, packet_flow const& flow, search& open);
     void on_not_held(time_point now, endpoint agent, flow_notice const& notice);
     void deliver(time_point now, packet_flow const& flow, hint& known, std::string packet);
-    void note(router_event event, packet_flow const& flow);
+    void note(router_event event, packet_flow const& flow, endpoint agent = {});
     void sweep_hints(time_point now);
     [[nodiscard]] std::string pick_service(route const& item, packet_flow const& flow) const;
     [[nodiscard]] std::vector<upstream_choice const*>
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -14,12 +14,17 @@
 constexpr duration heartbeat_interval = std::chrono::seconds{1};
 constexpr duration report_within = std::chrono::milliseconds{150}; // of a newly applied version
 constexpr std::size_t event_ring = 1024;
+// Control answers every heartbeat at once. A host that did not answer the first ones stands still
+// or is gone, and another is asked; one that answered before gets the time of a short stall.
+constexpr duration first_silence = std::chrono::milliseconds{350};
+constexpr duration first_heartbeat_interval = std::chrono::milliseconds{150};
 
 } // namespace
 
 control_session::control_session(process_context& context, daemon_role role, news_hook on_news)
     : context_(context), role_(role), on_news_(std::move(on_news)), events_(event_ring),
-      follower_(make_state_codec(), context.process), monitor_({}, context.clock.now()),
+      follower_(make_state_codec(), context.process),
+      monitor_({.first_silence = first_silence, .replacements_per_peer = 0}, context.clock.now()),
       heard_(time_point{}) {
     for (auto const& [id, where] : context.config.control_hosts)
         seeds_.push_back(where);
@@ -75,7 +80,7 @@
         time_point const now = context_.clock.now();
         if (now >= next_beat) {
             send_heartbeat(now);
-            next_beat = now + heartbeat_interval;
+            next_beat = now + (settled() ? heartbeat_interval : first_heartbeat_interval);
         }
         take_step(monitor_.on_tick(now));
         auto event = events_.pop_until(next_beat);
@@ -91,6 +96,15 @@
     }
 }
 
+// False while the host in use has not answered, or has not confirmed what this daemon needs.
+bool control_session::settled() const {
+    bool const wants_state = [this] {
+        std::lock_guard const lock(mutex_);
+        return content_.follows_state;
+    }();
+    return monitor_.answered() && (follower_.confirmed() || !wants_state);
+}
+
 void control_session::connect() {
     link_.reset();
     auto link = link_client::open(hosts_[host_], [this](std::string bytes) {
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -50,6 +50,7 @@
     using event = std::variant<std::string, beat_now>; // sealed bytes, or a wish to speak
 
     void run();
+    [[nodiscard]] bool settled() const;
     void connect();
     void send_heartbeat(time_point now);
     void on_bytes(time_point now, std::string const& bytes);
@@ -66,7 +67,7 @@
     state_follower follower_;           // only the duty touches it
     link_monitor monitor_;
     bool ask_again_ = false; // an update came that does not follow on what is applied
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     heartbeat content_;                     // guarded by mutex_
     std::vector<release_buckets> releases_; // guarded by mutex_
     std::vector<endpoint> seeds_;           // guarded by mutex_
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -173,8 +173,8 @@
     void carry_out(router_output output) {
         for (router_action& action : output.actions)
             std::visit([this](auto& body) { perform(body); }, action);
-        for (auto const& [event, flow] : output.events)
-            note(event, flow);
+        for (router_note const& what : output.notes)
+            note(what);
     }
 
     void perform(carry_to_agent& out) {
@@ -191,14 +191,15 @@
             context_.counters.count_refusal("balancer", "send_ring_full");
     }
 
-    void note(router_event event, packet_flow const& flow) {
-        context_.counters.count(absl::StrCat("flow_", to_string(event)));
-        if (event == router_event::delivered)
+    void note(router_note const& decision) {
+        context_.counters.count(absl::StrCat("flow_", to_string(decision.what)));
+        if (decision.what == router_event::delivered)
             return;
         context_.events->info(event_line("flow")
-                                  .add("what", to_string(event))
-                                  .add("caller", to_string(flow.caller))
-                                  .add("route", to_string(flow.route))
+                                  .add("what", to_string(decision.what))
+                                  .add("caller", to_string(decision.flow.caller))
+                                  .add("route", to_string(decision.flow.route))
+                                  .add("agent", to_string(decision.agent))
                                   .add("configuration", state_ ? state_->routes()->number : 0));
     }
 
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -153,7 +153,7 @@
         known.used = now;
         if (auto const at = agents_.find(agent); at != agents_.end())
             known.service = at->second.service;
-        note(router_event::found, flow);
+        note(router_event::found, flow, agent);
         if (auto const waiting = searches_.find(flow); waiting != searches_.end()) {
             // The first packet was delivered by the agent that found the flow.
             std::vector<std::string> parked = std::move(waiting->second.parked);
@@ -167,7 +167,7 @@
         auto const open = openings_.find(flow);
         if (open == openings_.end())
             return finish();
-        note(router_event::nobody_takes, flow);
+        note(router_event::nobody_takes, flow, agent);
         // A copy may have found a place meanwhile, so only the first packet is refused aloud.
         if (open->second.copies == 0)
             output_.actions.emplace_back(refuse_flow{flow});
@@ -190,12 +190,10 @@
         return;
     }
     std::erase(open->second.unanswered, agent);
-    if (!open->second.unanswered.empty())
-        return;
-    if (!open->second.everywhere) {
+    if (open->second.unanswered.empty() && !open->second.everywhere)
         search_everywhere(now, flow, open->second);
+    if (!open->second.unanswered.empty())
         return;
-    }
     // Nobody that could hold it does: the caller need not wait for its deadline.
     note(router_event::flow_is_over, flow);
     output_.actions.emplace_back(refuse_flow{flow, open->second.expected});
@@ -212,11 +210,11 @@
         if (!open.asked.empty())
             suspected_[open.asked.back()] = now + options_.suspicion;
         if (open.attempts >= options_.max_open_attempts) {
-            note(router_event::not_found, flow);
+            note(router_event::not_found, flow,
+                 open.asked.empty() ? endpoint{} : open.asked.back());
             openings_.erase(flow);
             continue;
         }
-        note(router_event::placing_again, flow);
         place(now, flow, open);
     }
     for (auto at = searches_.begin(); at != searches_.end();) {
@@ -227,7 +225,8 @@
             search_everywhere(now, open->first, open->second);
             continue;
         }
-        note(router_event::not_found, open->first);
+        note(router_event::not_found, open->first,
+             open->second.unanswered.empty() ? endpoint{} : open->second.unanswered.front());
         searches_.erase(open);
     }
     if (now >= next_sweep_)
@@ -260,7 +259,6 @@
     if (added) {
         route const& item = view_.routes->routes[*index_.find(head.flow.route)];
         open.service = pick_service(item, head.flow);
-        note(router_event::placing, head.flow);
     }
     place(now, head.flow, open);
 }
@@ -286,6 +284,7 @@
     endpoint const first = candidates.front();
     candidates.erase(candidates.begin());
     open.asked.push_back(first);
+    note(open.attempts > 1 ? router_event::placing_again : router_event::placing, flow, first);
     output_.actions.emplace_back(carry_to_agent{first,
                                                 {.purpose = carry_purpose::open,
                                                  .service = open.service,
@@ -343,7 +342,7 @@
 void packet_router::deliver(time_point now, packet_flow const& flow, hint& known,
                             std::string packet) {
     known.used = now;
-    note(router_event::delivered, flow);
+    note(router_event::delivered, flow, known.agent);
     output_.actions.emplace_back(carry_to_agent{known.agent,
                                                 {.purpose = carry_purpose::deliver,
                                                  .service = known.service,
@@ -353,8 +352,8 @@
                                                  .packet = std::move(packet)}});
 }
 
-void packet_router::note(router_event event, packet_flow const& flow) {
-    output_.events.emplace_back(event, flow);
+void packet_router::note(router_event event, packet_flow const& flow, endpoint agent) {
+    output_.notes.push_back({event, flow, agent});
 }
 
 void packet_router::sweep_hints(time_point now) {
--- a/src/process/io/event_log.cpp
+++ b/src/process/io/event_log.cpp
@@ -1,5 +1,7 @@
 #include "src/process/io/event_log.h"
 
+#include <cstdio>
+
 #include <glog/logging.h>
 
 namespace toucanusher {
@@ -57,6 +59,8 @@
             LOG(ERROR) << next->text;
             break;
         }
+        if (queue_.size() == 0)
+            std::fflush(stdout); // glog leaves standard output to the C library's buffer
     }
 }
 
--- a/tests/host_model.cpp
+++ b/tests/host_model.cpp
@@ -13,7 +13,8 @@
 using std::chrono::seconds;
 
 constexpr duration step_span = milliseconds{10};
-constexpr duration rejoin_window = seconds{4}; // a host counts as lost for this long after its return
+constexpr duration rejoin_window =
+    seconds{4}; // a host counts as lost for this long after its return
 constexpr duration settle_span = seconds{12};
 constexpr duration forming_span = seconds{4};
 constexpr duration reading_span = seconds{3};
@@ -40,8 +41,7 @@
         std::erase_if(disk.entries,
                       [&](log_entry const& e) { return e.index >= *write.truncate_from; });
     disk.entries.insert(disk.entries.end(), write.entries.begin(), write.entries.end());
-    std::erase_if(disk.entries,
-                  [&](log_entry const& e) { return e.index <= disk.snapshot.index; });
+    std::erase_if(disk.entries, [&](log_entry const& e) { return e.index <= disk.snapshot.index; });
 }
 
 } // namespace
--- a/tests/host_model.h
+++ b/tests/host_model.h
@@ -74,7 +74,9 @@
     machine* at(endpoint where);
     [[nodiscard]] bool connected(machine const& a, machine const& b) const;
     [[nodiscard]] std::size_t disturbed() const;
-    [[nodiscard]] bool chance(double probability) { return uniform_fraction(random_) < probability; }
+    [[nodiscard]] bool chance(double probability) {
+        return uniform_fraction(random_) < probability;
+    }
     [[nodiscard]] std::uint64_t draw(std::uint64_t below) { return random_() % below; }
     void trace(std::string const& text) const;
     void trace_hosts() const;
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -138,6 +138,17 @@
     CHECK(over[0].sequence == 900);
 }
 
+// Replays the minutes after a loss of power: the route names every service, so that no agent is
+// left for the second stage of the search.
+TEST_CASE("a flow that is over is told at once where the route names all services") {
+    packet_router router = make_router({{"batch", 1}, {"artwork", 1}});
+    (void)router.on_packet(start, head_of(flow_a, false), "data");
+    (void)router.on_notice(start, first_agent, notice_of(flow_report::not_held));
+    (void)router.on_notice(start, second_agent, notice_of(flow_report::not_held));
+    auto const over = refused(router.on_notice(start, art_agent, notice_of(flow_report::not_held)));
+    CHECK(over.size() == 1);
+}
+
 TEST_CASE("an upstream that left the state a moment ago is still asked, and its silence counts") {
     packet_router router = make_router();
     router_view view = make_view(make_routes(1, {{"batch", 1}}));
--- a/tests/paths_test.cpp
+++ b/tests/paths_test.cpp
@@ -67,7 +67,7 @@
 }
 
 TEST_CASE("a silent link is replaced once, then the next peer is tried") {
-    link_monitor monitor({std::chrono::milliseconds{1500}, 1}, at(0));
+    link_monitor monitor({.silence = std::chrono::milliseconds{1500}}, at(0));
     CHECK(monitor.on_tick(at(1400)) == link_step::keep);
     CHECK(monitor.on_tick(at(1500)) == link_step::replace);
     CHECK(monitor.on_tick(at(2000)) == link_step::keep);
