--- /dev/null
+++ b/programs/explain.cpp
@@ -0,0 +1,174 @@
+#include "programs/explain.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace toucanusher {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int exit_explained = 0;
+constexpr int exit_nothing_found = 1;
+constexpr int exit_unreadable = 2;
+// Changes of belief this long before and after the flow's own lines belong to its story.
+constexpr milliseconds context_span{5000};
+
+bool concerns(event_record const& record, explain_question const& question) {
+    bool const caller = !question.caller.empty() && record.field("caller") == question.caller;
+    bool const upstream = !question.upstream.empty() && record.field("name") == question.upstream;
+    return caller || upstream;
+}
+
+bool changes_belief(event_record const& record) {
+    static std::set<std::string> const events = {
+        "upstream_life", "upstream_left",   "upstream_drains", "upstream_silent",
+        "started",       "stopping",        "stopped",         "ready",
+        "leads",         "follows",         "disk_failed",     "disk_recovered",
+        "control_silent", "control_peer_silent", "configuration_in_force"};
+    return events.contains(record.event);
+}
+
+// Agents and balancers that took part, by the names that they log under and by address.
+std::set<std::string> find_participants(std::vector<event_record> const& records,
+                                        explain_question const& question) {
+    std::set<std::string> names;
+    std::set<std::string> agents;
+    for (event_record const& record : records)
+        if (concerns(record, question)) {
+            names.insert(record.process);
+            agents.insert(record.field("agent"));
+        }
+    for (event_record const& record : records)
+        if (record.event == "serving" && agents.contains(record.field("carrier")))
+            names.insert(record.process);
+    return names;
+}
+
+std::string describe(event_record const& record) {
+    std::string text = record.event;
+    for (auto const& [key, value] : record.fields)
+        if (key != "event" && key != "boot_ms")
+            absl::StrAppend(&text, " ", key, "=", value);
+    return text;
+}
+
+// What a decision about a flow means for its caller; empty for decisions of ordinary service.
+std::string find_meaning(event_record const& record) {
+    std::string const what = record.field("what");
+    std::string const agent = record.field("agent");
+    if (what == "no_route")
+        return absl::StrCat("configuration ", record.field("configuration"),
+                            " has no route at ", record.field("route"));
+    if (what == "nobody_takes" || what == "refused")
+        return "no upstream took the new flow: each was leaving, full or did not answer";
+    if (what == "no_upstream")
+        return "the service had no upstream that takes new flows";
+    if (what == "flow_is_over")
+        return "every agent says that its upstream does not hold the flow: the upstream that did "
+               "has ended or started anew";
+    if (what == "lost_flow")
+        return absl::StrCat("the life of the upstream beside ", record.process,
+                            " ended while the flow was open");
+    if (what == "not_found" && agent != "0.0.0.0:0")
+        return absl::StrCat("the agent ", agent, " did not answer");
+    if (what == "not_found")
+        return "nobody answered for the flow in time";
+    if (what == "unanswered")
+        return absl::StrCat("the upstream beside ", record.process,
+                            " left an opening packet unanswered");
+    if (what == "early")
+        return "the balancer had no configuration yet";
+    if (what == "overflow")
+        return "the balancer had too many searches or parked packets";
+    return {};
+}
+
+std::string find_belief_meaning(event_record const& record) {
+    if (record.event == "upstream_left")
+        return absl::StrCat("upstream ", record.field("name"), " said that it ends");
+    if (record.event == "upstream_silent")
+        return absl::StrCat("upstream ", record.field("name"), " fell silent");
+    if (record.event == "disk_failed")
+        return absl::StrCat("the disk of ", record.process, " refused a write");
+    if (record.event == "stopping")
+        return absl::StrCat(record.process, " was stopped");
+    return {};
+}
+
+} // namespace
+
+explanation explain(std::vector<event_record> records, explain_question const& question) {
+    put_in_order(records);
+    explanation result;
+    auto const first = std::find_if(records.begin(), records.end(),
+                                    [&](auto const& r) { return concerns(r, question); });
+    if (first == records.end())
+        return result;
+    auto const last = std::find_if(records.rbegin(), records.rend(),
+                                   [&](auto const& r) { return concerns(r, question); });
+    std::set<std::string> const participants = find_participants(records, question);
+    for (event_record const& record : records) {
+        bool const near =
+            record.at >= first->at - context_span && record.at <= last->at + context_span;
+        bool const context =
+            near && changes_belief(record) && participants.contains(record.process);
+        if (concerns(record, question) || context)
+            result.lines.push_back(record);
+    }
+    std::set<std::string> said;
+    auto const add = [&](std::string const& cause) {
+        if (!cause.empty() && said.insert(cause).second)
+            result.causes.push_back(cause);
+    };
+    for (event_record const& record : result.lines)
+        if (concerns(record, question))
+            add(find_meaning(record));
+    if (!result.causes.empty() || !question.upstream.empty())
+        for (event_record const& record : result.lines)
+            add(find_belief_meaning(record));
+    return result;
+}
+
+int run_explain(std::vector<std::string> const& files, explain_question const& question,
+                bool as_json) {
+    std::vector<event_record> records;
+    for (std::string const& path : files) {
+        std::ifstream input(path);
+        if (!input) {
+            std::fprintf(stderr, "cannot read %s\n", path.c_str());
+            return exit_unreadable;
+        }
+        std::string line;
+        while (std::getline(input, line))
+            if (auto record = parse_event_record(line, path))
+                records.push_back(*std::move(record));
+    }
+    explanation const result = explain(std::move(records), question);
+    if (as_json) {
+        nlohmann::json answer = {{"causes", result.causes}, {"lines", nlohmann::json::array()}};
+        for (event_record const& record : result.lines)
+            answer["lines"].push_back({{"at_ms", record.at.count()},
+                                       {"process", record.process},
+                                       {"fields", record.fields}});
+        std::cout << answer.dump() << "\n";
+    } else {
+        for (event_record const& record : result.lines)
+            std::cout << record.at.count() << " " << record.process << " " << describe(record)
+                      << "\n";
+        for (std::string const& cause : result.causes)
+            std::cout << "cause: " << cause << "\n";
+        if (result.lines.empty())
+            std::cout << "the logs say nothing about it\n";
+    }
+    return result.lines.empty() ? exit_nothing_found : exit_explained;
+}
+
+} // namespace toucanusher
--- a/programs/packet_agent.cpp
+++ b/programs/packet_agent.cpp
@@ -61,6 +61,10 @@
     packet_agent& operator=(packet_agent const&) = delete;
 
     absl::Status start() {
+        context_.events->info(event_line("serving")
+                                  .add("carrier", to_string(own_.carrier))
+                                  .add("upstream", to_string(own_.upstream))
+                                  .add("service", own_.service));
         session_ = std::make_unique<control_session>(context_, daemon_role::agent,
                                                      [](control_news const&) {});
         heartbeat silent;
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -52,6 +52,9 @@
     packet_balancer& operator=(packet_balancer const&) = delete;
 
     absl::Status start() {
+        context_.events->info(event_line("serving")
+                                  .add("callers", to_string(own_.callers))
+                                  .add("carrier", to_string(own_.carrier)));
         session_ = std::make_unique<control_session>(
             context_, daemon_role::balancer, [this](control_news news) {
                 if (!events_.try_push(std::move(news)))
--- a/programs/toucanusher.cpp
+++ b/programs/toucanusher.cpp
@@ -17,6 +17,7 @@
 #include <absl/strings/str_split.h>
 
 #include "programs/answer_text.h"
+#include "programs/explain.h"
 #include "programs/operator_client.h"
 #include "programs/service_call.h"
 #include "programs/version_text.h"
@@ -46,6 +47,7 @@
     "  call IP:PORT[,IP:PORT] [BODY]  send one request (--class, --idempotent, --deadline)\n"
     "  hosts add|promote|remove ID    change the control hosts, with the fleet's key\n"
     "  settings                  list every setting key\n"
+    "  explain FILE...           what the logs say of a flow or upstream (--flow, --upstream)\n"
     "Exit codes: 0 done, 1 refused, 2 usage, 3 overridden, 4 outcome not known\n";
 
 // Options as popt fills them in; strings are owned by popt.
@@ -56,6 +58,8 @@
     char* request = nullptr;
     char* kind = nullptr;
     char* expect = nullptr;
+    char* flow = nullptr;
+    char* upstream = nullptr;
     int loudness = 0;
     int timeout = 10000;
     int deadline = 2000;
@@ -263,6 +267,15 @@
     return exit_ok;
 }
 
+int run_explain_command(invocation const& given) {
+    explain_question question;
+    question.caller = given.options.flow == nullptr ? "" : given.options.flow;
+    question.upstream = given.options.upstream == nullptr ? "" : given.options.upstream;
+    if (given.words.empty() || (question.caller.empty() && question.upstream.empty()))
+        return fail("explain needs --flow IP:PORT or --upstream NAME, and log files", exit_usage);
+    return run_explain(given.words, question, given.options.json != 0);
+}
+
 int run_command(std::string const& name, invocation const& given) {
     static std::map<std::string, std::function<int(invocation const&)>> const commands = {
         {"check-config", run_check_config},
@@ -270,6 +283,7 @@
         {"withdraw", [](invocation const& i) { return run_claim_write(i, true); }},
         {"get", run_get},
         {"history", run_history},
+        {"explain", run_explain_command},
         {"status", [](invocation const& i) { return read_control(i, read_status{}); }},
         {"upstreams", run_upstreams},
         {"call", run_call},
@@ -310,6 +324,8 @@
         {"idempotent", 0, POPT_ARG_NONE, &given.idempotent, 0, "call: may run more than once",
          nullptr},
         {"deadline", 0, POPT_ARG_INT, &given.deadline, 0, "call: milliseconds", "MS"},
+        {"flow", 0, POPT_ARG_STRING, &given.flow, 0, "explain: the caller's address", "IP:PORT"},
+        {"upstream", 0, POPT_ARG_STRING, &given.upstream, 0, "explain: an upstream", "NAME"},
         {"json", 0, POPT_ARG_NONE, &given.json, 0, "Print JSON", nullptr},
         {"version", 0, POPT_ARG_NONE, &given.version, 0, "Print the version", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
--- a/src/process/io/link.cpp
+++ b/src/process/io/link.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t max_message_bytes = 64U << 20U; // a snapshot fits
 constexpr nng_duration min_redial_ms = 20;
 constexpr nng_duration pause_after_fault_ms = 20; // keeps a lasting fault from spinning
-constexpr nng_duration max_redial_ms = 100; // after a restart of all hosts this is waited for
+constexpr nng_duration max_redial_ms = 100;       // after a restart of all hosts this is waited for
 
 std::string url_of(endpoint const& where) {
     return absl::StrCat("tcp://", to_string(where));
--- /dev/null
+++ b/tests/fuzz/fuzz_carried_message.cpp
@@ -0,0 +1,15 @@
+// Messages about carried flows: any bytes decode or are refused.
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include "src/connection/carried_codec.h"
+
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size) {
+    auto const message = toucanusher::decode_carried_message(
+        std::string_view(reinterpret_cast<char const*>(data), size));
+    if (message.ok() &&
+        !toucanusher::decode_carried_message(toucanusher::encode_carried_message(*message)).ok())
+        __builtin_trap();
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_platform.cpp
@@ -0,0 +1,26 @@
+// The platform's forms: any bytes are a packet, a configuration and an announcement, or none.
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "platform/configuration_json.h"
+#include "platform/packet_form.h"
+#include "platform/upstream_json.h"
+
+using namespace toucanusher;
+
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size) {
+    std::string const bytes(reinterpret_cast<char const*>(data), size);
+    static packet_codec const codec = platform::make_packet_codec();
+    for (packet_direction const direction :
+         {packet_direction::to_upstream, packet_direction::to_caller})
+        if (auto const head = codec.decode(bytes, direction); head.ok() && head->returned)
+            (void)codec.without_marks(bytes);
+    if (auto const read = platform::decode_configuration(bytes); read.ok()) {
+        (void)check_configuration(*read, "fuzz");
+        if (!platform::decode_configuration(platform::encode_configuration(*read)).ok())
+            __builtin_trap();
+    }
+    (void)platform::decode_upstream_beat("u", bytes);
+    return 0;
+}
--- a/tools/make_seeds.cpp
+++ b/tools/make_seeds.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <string>
 
+#include "src/connection/carried_codec.h"
 #include "src/process/log_codec.h"
 #include "src/request/request_codec.h"
 #include "src/version/control_codec.h"
@@ -40,12 +41,17 @@
     write(folder, agent, "store", encode_agent_message(flow_message{witness_store{}}));
     write(folder, agent, "page", encode_agent_message(flow_message{recovery_page{}}));
     write(folder, agent, "claim", encode_agent_message(run_message{run_claim{}}));
+    std::string const carried = "fuzz_carried_message";
+    write(folder, carried, "packet", encode_carried_message(carried_packet{}));
+    write(folder, carried, "notice", encode_carried_message(flow_notice{}));
     std::string const control = "fuzz_control_message";
     heartbeat beat;
     beat.upstreams.emplace_back();
     beat.balancer.emplace();
     write(folder, control, "heartbeat", encode_control_message(beat));
     write(folder, control, "update", encode_control_message(state_update{}));
+    write(folder, control, "join", encode_control_message(join_request{}));
+    write(folder, control, "directory", encode_control_message(host_directory{}));
     write(folder, control, "request", encode_control_message(operator_request{"1", write_claim{}}));
     write(folder, control, "reply", encode_control_message(operator_reply{"1", status_view{}}));
     write(folder, "fuzz_caller_message", "part", encode_caller_message(request_part{}));
