Refuse new flows that would miss their objective; replay load on the decisions

Change: an agent knows how long answers take when they find a slot, and how many wait. A new flow whose answer would take longer than its share of the objective goes to another agent, and is refused at once if nobody can; less urgent flows leave more of their objective. Open flows weigh a tenth of a slot in the load, 0.01 before. tests/load_replay drives routers and agents' tables with simulated callers and upstreams; bench/placing_experiment compares ways on it.

Conclusion: nothing is refused while a slot is free; to be measured on the sites.

--- /dev/null
+++ b/bench/placing_experiment.cpp
@@ -0,0 +1,88 @@
+// Compares ways of placing and of turning away on one replayed load, as ratios of one run.
+// With `--timeline FILE` writes requests in progress by upstream, for bench/timeline.gnuplot.
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+
+#include "tests/load_replay.h"
+
+using namespace toucanusher;
+using namespace toucanusher::tests;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t seed = 20261204;
+
+// The sites' sheets, scaled to a number of upstreams.
+replay_options make_load(std::uint32_t upstreams) {
+    double const scale = upstreams / 7.0;
+    replay_options options;
+    options.upstreams = upstreams;
+    options.classes = {
+        {"feed", 292 * scale, milliseconds{22}, milliseconds{120}, milliseconds{2000}, false, 2, 2},
+        {"submit", 83.5 * scale, milliseconds{29}, milliseconds{150}, milliseconds{2500}, false, 1,
+         2},
+        {"download", 25 * scale, milliseconds{5}, milliseconds{500}, milliseconds{8000}, true, 2, 2},
+    };
+    return options;
+}
+
+void print(char const* name, replay_result const& result) {
+    std::printf("%-34s", name);
+    for (class_result const& item : result.classes)
+        std::printf(" %6.3f", item.worth());
+    std::printf("  max/mean %5.3f  p99 %4lld ms  passes/open %4.2f\n", result.max_over_mean,
+                static_cast<long long>(result.p99 / milliseconds{1}),
+                static_cast<double>(result.passes) / static_cast<double>(result.opened));
+}
+
+void compare_placing(std::uint32_t upstreams) {
+    std::printf("\n%u upstreams: worth of feed, submit, download\n", upstreams);
+    for (placing const way : {placing::two_choices, placing::hash_alone, placing::stale_reports,
+                              placing::least_of_all}) {
+        replay_options options = make_load(upstreams);
+        options.way = way;
+        options.bursts = {{0, 1.7, seconds{8}, seconds{12}}};
+        print(to_string(way), replay_load(options, seed));
+    }
+}
+
+void compare_turning_away() {
+    std::printf("\n7 upstreams, two leave, bursts: with and without a judgement of time\n");
+    for (double const factor : {1.0, 1.7, 2.4, 4.0})
+        for (bool const judge : {true, false}) {
+            replay_options options = make_load(7);
+            options.judge_time = judge;
+            options.bursts = {{0, factor, seconds{6}, seconds{16}}};
+            options.changes = {{.upstream = 0, .at = seconds{5}, .drains = true},
+                               {.upstream = 1, .at = seconds{5}, .drains = true}};
+            char name[64];
+            std::snprintf(name, sizeof name, "feed x%.1f, %s", factor, judge ? "judged" : "not judged");
+            print(name, replay_load(options, seed));
+        }
+}
+
+} // namespace
+
+int main(int argc, char const** argv) {
+    if (argc == 3 && std::strcmp(argv[1], "--timeline") == 0) {
+        replay_options options = make_load(7);
+        options.bursts = {{0, 1.9, seconds{8}, seconds{12}}};
+        std::ofstream out(argv[2]);
+        double at = 0;
+        for (auto const& row : replay_load(options, seed).timeline) {
+            out << (at += 0.1);
+            for (std::uint32_t const value : row)
+                out << ' ' << value;
+            out << '\n';
+        }
+        return 0;
+    }
+    for (std::uint32_t const upstreams : {7U, 50U, 500U})
+        compare_placing(upstreams);
+    compare_turning_away();
+    return 0;
+}
--- a/include/toucanusher/connection/carried_message.h
+++ b/include/toucanusher/connection/carried_message.h
@@ -1,6 +1,7 @@
 // What balancers and agents send each other about flows that they carry without ending them.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -37,7 +38,10 @@
     std::vector<endpoint> candidates;
     std::uint32_t offers_wanted = 0;
     std::optional<load_offer> best;
-    std::string packet; // as the caller sent it
+    // For `open`: the latency that callers of the route want; zero: not known.
+    std::chrono::milliseconds objective{};
+    std::uint32_t priority = 0; // of the route; 0 is the most urgent
+    std::string packet;         // as the caller sent it
 
     friend bool operator==(carried_packet const&, carried_packet const&) = default;
 };
--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -123,6 +123,8 @@
     struct opening {
         std::string packet;
         std::string service;
+        std::chrono::milliseconds objective{};
+        std::uint32_t priority = 0;
         std::vector<endpoint> asked; // first candidates of earlier attempts
         std::uint32_t attempts = 0;
         std::uint32_t copies = 0; // that the caller sent before
--- a/include/toucanusher/connection/upstream_flows.h
+++ b/include/toucanusher/connection/upstream_flows.h
@@ -33,9 +33,16 @@
     // on average; open flows only decide between equals, since most of them are idle.
     std::uint32_t waiting_weight = 500;
     std::uint32_t average_weight = 1000;
-    std::uint32_t open_weight = 10;
+    std::uint32_t open_weight = 100;
     std::uint32_t cold_weight = 300; // a cold upstream works slower, so it shows more load
-    duration averaged_over = std::chrono::seconds{1};
+    duration averaged_over = std::chrono::milliseconds{1000};
+    // A new flow whose first answer would take longer than a share of its objective is not taken:
+    // the rest is for the way there and back and for requests longer than the mean. Less urgent
+    // flows leave more of it, so that a flood of them does not fill the queue for urgent ones.
+    std::uint32_t urgent_percent = 100; // of the objective, for priority 0
+    std::uint32_t percent_a_step = 25;  // less for each step of priority
+    std::uint32_t least_percent = 50;
+    double service_time_weight = 0.1; // of one more answer in the mean time of service
     std::size_t max_flows = 20000;
 };
 
@@ -72,6 +79,7 @@
     not_held, // the upstream returned it, or the table is complete
     refused,  // no candidate took the new flow
     other_service,
+    too_late,   // its answer would miss its objective here
     unanswered, // the upstream did not answer an opening packet
     lost_flow,  // the upstream no longer holds a flow that it had
     table_full,
@@ -99,6 +107,8 @@
     void set_complete(time_point now) { started_ = now - options_.flow_lifetime; }
 
     [[nodiscard]] load_level load(time_point now) const;
+    // How long a request that came now would take, from what answers took.
+    [[nodiscard]] duration expected_answer() const;
     [[nodiscard]] std::size_t open_flows() const { return open_; }
     [[nodiscard]] std::size_t waiting_flows() const { return waiting_; }
     // When on_tick() has something to do next.
@@ -114,7 +124,9 @@
     };
     struct flow {
         flow_phase phase = flow_phase::opening;
-        bool waiting = false; // the caller's last data is not answered yet
+        bool waiting = false;    // the caller's last data is not answered yet
+        bool found_slot = false; // when it came, a slot was free, as far as is known
+        time_point asked_at{};
         bool caller_finished = false;
         bool upstream_finished = false;
         endpoint origin; // the balancer that brought it last
@@ -143,6 +155,7 @@
     void note(flow_event event, packet_flow const& flow);
     void sweep(time_point now);
     [[nodiscard]] bool takes_new(time_point now) const;
+    [[nodiscard]] bool answers_in_time(carried_packet const& message) const;
     [[nodiscard]] bool may_be_incomplete(time_point now) const;
     agent_output finish();
 
@@ -157,6 +170,7 @@
     std::vector<packet_flow> opening_; // keys whose phase may be opening, oldest first
     std::size_t open_ = 0;             // flows in phase open
     std::size_t waiting_ = 0;          // flows whose `waiting` is set
+    duration service_time_{};          // mean of answers to requests that found a slot; 0: unknown
     double average_waiting_ = 0;       // of waiting_, at averaged_at_
     time_point averaged_at_{};
     time_point next_sweep_{};
--- a/programs/explain.cpp
+++ b/programs/explain.cpp
@@ -28,11 +28,21 @@
 }
 
 bool changes_belief(event_record const& record) {
-    static std::set<std::string> const events = {
-        "upstream_life", "upstream_left",   "upstream_drains", "upstream_silent",
-        "started",       "stopping",        "stopped",         "ready",
-        "leads",         "follows",         "disk_failed",     "disk_recovered",
-        "control_silent", "control_peer_silent", "configuration_in_force"};
+    static std::set<std::string> const events = {"upstream_life",
+                                                 "upstream_left",
+                                                 "upstream_drains",
+                                                 "upstream_silent",
+                                                 "started",
+                                                 "stopping",
+                                                 "stopped",
+                                                 "ready",
+                                                 "leads",
+                                                 "follows",
+                                                 "disk_failed",
+                                                 "disk_recovered",
+                                                 "control_silent",
+                                                 "control_peer_silent",
+                                                 "configuration_in_force"};
     return events.contains(record.event);
 }
 
@@ -65,8 +75,8 @@
     std::string const what = record.field("what");
     std::string const agent = record.field("agent");
     if (what == "no_route")
-        return absl::StrCat("configuration ", record.field("configuration"),
-                            " has no route at ", record.field("route"));
+        return absl::StrCat("configuration ", record.field("configuration"), " has no route at ",
+                            record.field("route"));
     if (what == "nobody_takes" || what == "refused")
         return "no upstream took the new flow: each was leaving, full or did not answer";
     if (what == "no_upstream")
--- a/src/connection/carried_codec.cpp
+++ b/src/connection/carried_codec.cpp
@@ -22,7 +22,8 @@
 template <typename Archive>
 auto fields(Archive& archive, carried_packet& value) {
     return detail::list_fields(archive, value.purpose, value.service, value.origin,
-                               value.candidates, value.offers_wanted, value.best, value.packet);
+                               value.candidates, value.offers_wanted, value.best, value.objective,
+                               value.priority, value.packet);
 }
 template <typename Archive>
 auto fields(Archive& archive, flow_notice& value) {
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -259,6 +259,8 @@
     if (added) {
         route const& item = view_.routes->routes[*index_.find(head.flow.route)];
         open.service = pick_service(item, head.flow);
+        open.objective = item.objective;
+        open.priority = item.priority;
     }
     place(now, head.flow, open);
 }
@@ -292,6 +294,8 @@
                                                  .candidates = std::move(candidates),
                                                  .offers_wanted = options_.offers,
                                                  .best = {},
+                                                 .objective = open.objective,
+                                                 .priority = open.priority,
                                                  .packet = open.packet}});
 }
 
--- a/src/connection/upstream_flows.cpp
+++ b/src/connection/upstream_flows.cpp
@@ -35,6 +35,8 @@
         return "refused";
     case flow_event::other_service:
         return "other_service";
+    case flow_event::too_late:
+        return "too_late";
     case flow_event::unanswered:
         return "unanswered";
     case flow_event::lost_flow:
@@ -160,6 +162,11 @@
     return load_level{static_cast<std::uint32_t>(work / slots_ + cold)};
 }
 
+duration upstream_flows::expected_answer() const {
+    std::size_t const ahead = waiting_ >= slots_ ? waiting_ - slots_ + 1 : 0;
+    return service_time_ + service_time_ * ahead / slots_;
+}
+
 // The average moves towards the present figure by the share of the window that has passed.
 double upstream_flows::decayed_average(time_point now) const {
     using seconds = std::chrono::duration<double>;
@@ -188,6 +195,12 @@
         pass_on(head, std::move(message));
         return;
     }
+    if (!answers_in_time(message)) {
+        note(flow_event::too_late, head.flow);
+        message.offers_wanted = std::max(message.offers_wanted, 1U) - 1;
+        pass_on(head, std::move(message));
+        return;
+    }
     load_level const own = load(now);
     if (message.best && message.best->agent != options_.self && message.best->load < own &&
         message.offers_wanted <= 1) {
@@ -333,6 +346,17 @@
     if (known.waiting == waiting)
         return;
     average_waiting(now);
+    if (waiting) {
+        known.found_slot = waiting_ < slots_;
+        known.asked_at = now;
+    } else if (known.found_slot) {
+        duration const taken = now - known.asked_at;
+        service_time_ =
+            service_time_ == duration::zero()
+                ? taken
+                : service_time_ + std::chrono::duration_cast<duration>(
+                                      (taken - service_time_) * options_.service_time_weight);
+    }
     known.waiting = waiting;
     waiting_ += waiting ? 1 : static_cast<std::size_t>(-1);
 }
@@ -374,6 +398,16 @@
     return takes_new_ && answers;
 }
 
+// Nothing is refused while a slot is free.
+bool upstream_flows::answers_in_time(carried_packet const& message) const {
+    if (waiting_ < slots_ || message.objective == std::chrono::milliseconds::zero())
+        return true;
+    std::uint32_t const less = options_.percent_a_step * std::min(message.priority, 100U);
+    std::uint32_t const percent = std::max(
+        options_.least_percent, options_.urgent_percent - std::min(options_.urgent_percent, less));
+    return expected_answer() * 100 <= message.objective * percent;
+}
+
 bool upstream_flows::may_be_incomplete(time_point now) const {
     return now - started_ < options_.flow_lifetime;
 }
--- a/src/process/event_record.cpp
+++ b/src/process/event_record.cpp
@@ -113,8 +113,8 @@
     for (event_record const& record : records)
         offsets[record.process].push_back(record.wall - record.boot);
     for (auto& [process, list] : offsets)
-        std::nth_element(list.begin(),
-                         list.begin() + static_cast<std::ptrdiff_t>(list.size() / 2), list.end());
+        std::nth_element(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(list.size() / 2),
+                         list.end());
     for (event_record& record : records) {
         auto const& list = offsets[record.process];
         record.at = record.boot + list[list.size() / 2];
--- /dev/null
+++ b/tests/load_replay_test.cpp
@@ -0,0 +1,90 @@
+// Load at its worst, replayed on the packet decisions: how flows are placed and turned away.
+#include "tests/load_replay.h"
+
+#include <doctest/doctest.h>
+
+namespace toucanusher::tests {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t seed = 20261204;
+// While one kind of work floods, the others keep this share of their worth.
+constexpr double kept_in_flood = 0.98;
+// Requests in progress at the peak, in proportion to slots.
+constexpr double peak_max_over_mean = 1.15;
+
+replay_options make_load() {
+    replay_options options;
+    options.classes = {
+        {"feed", 292, milliseconds{22}, milliseconds{120}, milliseconds{2000}, false, 2, 2},
+        {"submit", 83.5, milliseconds{29}, milliseconds{150}, milliseconds{2500}, false, 1, 2},
+        {"download", 25, milliseconds{5}, milliseconds{500}, milliseconds{8000}, true, 2, 2},
+    };
+    return options;
+}
+
+} // namespace
+
+// Load pattern: the feed floods at four times its rate for ten seconds while two of seven upstreams
+// leave, so that the fleet is asked for twice what it can do.
+TEST_CASE("what cannot be served in time is refused, and other work is served") {
+    replay_options options = make_load();
+    auto const calm = replay_load(options, seed);
+    options.bursts = {{0, 4.0, seconds{6}, seconds{16}}};
+    options.changes = {{.upstream = 0, .at = seconds{5}, .drains = true},
+                       {.upstream = 1, .at = seconds{5}, .drains = true}};
+    auto const judged = replay_load(options, seed);
+    CHECK(judged.classes[1].worth() >= kept_in_flood * calm.classes[1].worth());
+    CHECK(judged.classes[2].worth() >= kept_in_flood * calm.classes[2].worth());
+    options.judge_time = false;
+    auto const held = replay_load(options, seed);
+    for (std::size_t i = 0; i < 3; ++i)
+        CHECK(judged.classes[i].worth() > held.classes[i].worth());
+    CHECK(held.classes[1].worth() < kept_in_flood * calm.classes[1].worth());
+}
+
+// Load pattern: the feed at 1.9 times its rate, no change of upstreams.
+TEST_CASE("nothing is refused while the fleet can do the work") {
+    replay_options options = make_load();
+    options.bursts = {{0, 1.9, seconds{6}, seconds{16}}};
+    auto const result = replay_load(options, seed);
+    for (class_result const& item : result.classes) {
+        CHECK(item.refused == 0);
+        CHECK(item.failed == 0);
+        CHECK(item.worth() >= kept_in_flood);
+    }
+    options.warm_up = seconds{6}; // the peak alone
+    options.length = seconds{16};
+    CHECK(replay_load(options, seed).max_over_mean <= peak_max_over_mean);
+}
+
+// Load pattern: the burst of the test before, but each flow goes where its hash says.
+TEST_CASE("two choices with exact loads spread work better than a hash") {
+    replay_options options = make_load();
+    options.bursts = {{0, 1.9, seconds{6}, seconds{16}}};
+    auto const choices = replay_load(options, seed);
+    options.way = placing::hash_alone;
+    auto const hash = replay_load(options, seed);
+    CHECK(choices.max_over_mean < hash.max_over_mean);
+}
+
+// Load pattern: all of a burst comes while three of seven upstreams are replaced, one a second, and
+// the newcomers are cold.
+TEST_CASE("a release during a burst costs nobody its objective") {
+    replay_options options = make_load();
+    options.upstreams = 10;
+    options.bursts = {{1, 1.9, seconds{6}, seconds{10}}};
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        options.changes.push_back(
+            {.upstream = 7 + i, .at = seconds{6 + i}, .joins = true});
+        options.changes.push_back(
+            {.upstream = i, .at = seconds{6 + i} + milliseconds{800}, .drains = true});
+    }
+    auto const result = replay_load(options, seed);
+    for (class_result const& item : result.classes)
+        CHECK(item.worth() >= kept_in_flood);
+}
+
+} // namespace toucanusher::tests
