Campaign quickly until a leader is known

Ruled out: disks (1 ms a sync), votes split by equal timers (the model spreads them).

Change: the short election timeout holds until this process has known a leader.

--- a/include/toucanusher/process/replicated_log.h
+++ b/include/toucanusher/process/replicated_log.h
@@ -27,8 +27,9 @@
     duration heartbeat_interval = std::chrono::milliseconds{50};
     // A follower that hears no leader for this long, doubled at most by chance, seeks election.
     duration election_timeout = std::chrono::milliseconds{300};
-    // The same for the first election after a start; nothing: as any other. A leader that lives is
-    // heard before, and its followers refuse the preliminary vote.
+    // The same until this process has known a leader; nothing: as later. A leader that lives is
+    // heard before, and its followers refuse the preliminary vote; peers that are still starting
+    // miss the first campaigns, so the next one must not wait for long.
     std::optional<duration> first_election_timeout;
     std::size_t max_entries_per_message = 256;
     std::size_t kept_entries_after_snapshot = 1024; // serve slow followers without a snapshot
@@ -137,7 +138,6 @@
     void confirm_reads();
     void fail_reads();
     void reset_election_timer(time_point now);
-    void reset_election_timer(time_point now, duration timeout);
     void refresh_members();
     void send(host_id to, log_message_body body, hold_until hold);
     void write_state();
@@ -171,6 +171,7 @@
     std::map<host_id, progress> progress_;
     std::uint64_t round_ = 0;
     std::vector<pending_read> reads_;
+    bool knew_leader_ = false; // since the start of this process
     time_point election_deadline_{};
     time_point last_leader_contact_{};
     time_point leader_since_{};
--- a/src/process/replicated_log.cpp
+++ b/src/process/replicated_log.cpp
@@ -26,7 +26,7 @@
       synced_index_(snapshot_.index + entries_.size()),
       last_leader_contact_(now - 2 * options.election_timeout) {
     refresh_members();
-    reset_election_timer(now, options.first_election_timeout.value_or(options.election_timeout));
+    reset_election_timer(now);
 }
 
 log_output replicated_log::on_tick(time_point now) {
@@ -293,6 +293,7 @@
     if (role_ != log_role::follower)
         become_follower(now, state_.term, from);
     leader_ = from;
+    knew_leader_ = true;
     last_leader_contact_ = now;
     reset_election_timer(now);
 }
@@ -335,6 +336,7 @@
 
 void replicated_log::become_leader(time_point now) {
     role_ = log_role::leader;
+    knew_leader_ = true;
     leader_ = options_.self;
     leader_since_ = now;
     progress_.clear();
@@ -450,10 +452,9 @@
 }
 
 void replicated_log::reset_election_timer(time_point now) {
-    reset_election_timer(now, options_.election_timeout);
-}
-
-void replicated_log::reset_election_timer(time_point now, duration timeout) {
+    duration const timeout =
+        knew_leader_ ? options_.election_timeout
+                     : options_.first_election_timeout.value_or(options_.election_timeout);
     auto const spread =
         static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(timeout.count()));
     election_deadline_ = now + timeout + duration{spread};
--- a/tests/replicated_log_test.cpp
+++ b/tests/replicated_log_test.cpp
@@ -19,12 +19,11 @@
     std::map<host_id, bool> cut;
     std::vector<log_message> mail;
 
-    explicit small_cluster(std::uint32_t hosts, log_faults faults = {}) {
+    explicit small_cluster(std::uint32_t hosts, log_faults faults = {}, log_options options = {}) {
         durable_log stored;
         for (std::uint32_t i = 1; i <= hosts; ++i)
             stored.snapshot.members.voters.push_back(host_id{i});
         for (std::uint32_t i = 1; i <= hosts; ++i) {
-            log_options options;
             options.self = host_id{i};
             logs.emplace(host_id{i}, replicated_log(options, stored, clock.now(),
                                                     make_seeded_random(i), faults));
@@ -144,4 +143,26 @@
     CHECK_FALSE(log.propose_members(now, learner, output).ok()); // the first is still open
 }
 
+// Replays a start after a loss of power: no host reaches another for the first half second, so the
+// first campaigns are lost.
+TEST_CASE("hosts that start together elect a leader soon after they reach each other") {
+    for (bool const quick : {true, false}) {
+        log_options options;
+        options.election_timeout = std::chrono::milliseconds{600};
+        if (quick)
+            options.first_election_timeout = std::chrono::milliseconds{100};
+        small_cluster cluster(3, {}, options);
+        for (std::uint32_t i = 1; i <= 3; ++i)
+            cluster.cut[host_id{i}] = true;
+        cluster.run(std::chrono::milliseconds{500});
+        for (std::uint32_t i = 1; i <= 3; ++i)
+            cluster.cut[host_id{i}] = false;
+        cluster.run(std::chrono::milliseconds{400});
+        bool led = false;
+        for (auto const& [id, log] : cluster.logs)
+            led = led || log.role() == log_role::leader;
+        CHECK(led == quick);
+    }
+}
+
 } // namespace toucanusher::tests
