Spread the first campaigns wider than they take

Ruled out: links (connected within 0.1 s by their log lines), disks.

Change: the first timers are 60 to 240 ms, a campaign takes about 30 ms.

--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -32,8 +32,8 @@
 // A process that competes with others for part of a core can stall for a tenth of a second.
 constexpr duration automatic_heartbeat = std::chrono::milliseconds{100};
 constexpr duration automatic_election = std::chrono::milliseconds{600};
-// After a start nothing is served before a leader is there; a heartbeat tells if one lives.
-constexpr duration automatic_first_election = std::chrono::milliseconds{100};
+// After a start nothing is served before a leader is there; a campaign takes about 30 ms.
+constexpr duration automatic_first_election = std::chrono::milliseconds{60};
 
 struct received_bytes {
     link_peer peer{};
--- a/src/process/replicated_log.cpp
+++ b/src/process/replicated_log.cpp
@@ -452,12 +452,14 @@
 }
 
 void replicated_log::reset_election_timer(time_point now) {
-    duration const timeout =
-        knew_leader_ ? options_.election_timeout
-                     : options_.first_election_timeout.value_or(options_.election_timeout);
-    auto const spread =
-        static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(timeout.count()));
-    election_deadline_ = now + timeout + duration{spread};
+    // Hosts that start together need a wide spread, or their campaigns meet.
+    constexpr int first_spread = 3;
+    bool const first = !knew_leader_ && options_.first_election_timeout.has_value();
+    duration const base = first ? *options_.first_election_timeout : options_.election_timeout;
+    duration const spread = first ? base * first_spread : base;
+    auto const chosen =
+        static_cast<duration::rep>(random_() % static_cast<std::uint64_t>(spread.count()));
+    election_deadline_ = now + base + duration{chosen};
 }
 
 void replicated_log::refresh_members() {
--- a/tests/replicated_log_test.cpp
+++ b/tests/replicated_log_test.cpp
@@ -150,7 +150,7 @@
         log_options options;
         options.election_timeout = std::chrono::milliseconds{600};
         if (quick)
-            options.first_election_timeout = std::chrono::milliseconds{100};
+            options.first_election_timeout = std::chrono::milliseconds{60};
         small_cluster cluster(3, {}, options);
         for (std::uint32_t i = 1; i <= 3; ++i)
             cluster.cut[host_id{i}] = true;
