--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -93,7 +93,8 @@
 struct router_note {
     router_event what = router_event::delivered;
     packet_flow flow;
-    endpoint agent; // that was chosen, spoke, or did not answer; empty if none
+    endpoint agent;               // that was chosen, spoke, or did not answer; empty if none
+    std::optional<duration> took; // from the first packet to this decision
 };
 
 struct router_output {
@@ -127,6 +128,7 @@
         std::uint32_t priority = 0;
         std::vector<endpoint> asked; // first candidates of earlier attempts
         std::uint32_t attempts = 0;
+        time_point began{};
         std::uint32_t copies = 0; // that the caller sent before
         time_point deadline{};
     };
--- a/programs/explain.cpp
+++ b/programs/explain.cpp
@@ -91,6 +91,10 @@
         return absl::StrCat("the agent ", agent, " did not answer");
     if (what == "not_found")
         return "nobody answered for the flow in time";
+    if (what == "too_late")
+        return absl::StrCat("the upstream beside ", record.process,
+                            " had too much work: ", record.field("waiting"),
+                            " requests in progress");
     if (what == "unanswered")
         return absl::StrCat("the upstream beside ", record.process,
                             " left an opening packet unanswered");
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -196,6 +196,9 @@
 
     void note(router_note const& decision) {
         context_.counters.count(absl::StrCat("flow_", to_string(decision.what)));
+        if (decision.took)
+            context_.counters.observe_seconds(
+                "placed", std::chrono::duration<double>(*decision.took).count());
         if (decision.what == router_event::delivered)
             return;
         context_.events->info(event_line("flow")
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -147,6 +147,9 @@
     suspected_.erase(agent);
     packet_flow const& flow = notice.flow;
     if (notice.report == flow_report::held) {
+        std::optional<duration> took;
+        if (auto const open = openings_.find(flow); open != openings_.end())
+            took = now - open->second.began;
         openings_.erase(flow);
         hint& known = hints_[flow];
         known.agent = agent;
@@ -154,6 +157,7 @@
         if (auto const at = agents_.find(agent); at != agents_.end())
             known.service = at->second.service;
         note(router_event::found, flow, agent);
+        output_.notes.back().took = took;
         if (auto const waiting = searches_.find(flow); waiting != searches_.end()) {
             // The first packet was delivered by the agent that found the flow.
             std::vector<std::string> parked = std::move(waiting->second.parked);
@@ -261,6 +265,7 @@
         open.service = pick_service(item, head.flow);
         open.objective = item.objective;
         open.priority = item.priority;
+        open.began = now;
     }
     place(now, head.flow, open);
 }
--- a/src/process/io/metrics.h
+++ b/src/process/io/metrics.h
@@ -26,7 +26,8 @@
     void count(std::string const& event, double by = 1);
     // toucanusher_state{name}
     void set(std::string const& name, double value);
-    // toucanusher_request_seconds{outcome}; refused requests are not observed here.
+    // toucanusher_request_seconds{outcome}; refused requests are not observed here. `placed`: from
+    // a flow's opening packet to its upstream's agreement.
     void observe_seconds(std::string const& outcome, double seconds);
 
     [[nodiscard]] std::string text() const; // Prometheus text format
