Greet a new control host at once

Change: a new link gets a heartbeat at once.

Figures: none yet; the session has no test without processes (noted in docs/PLATFORM.md).

--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -82,7 +82,8 @@
             send_heartbeat(now);
             next_beat = now + (settled() ? heartbeat_interval : first_heartbeat_interval);
         }
-        take_step(monitor_.on_tick(now));
+        if (take_step(monitor_.on_tick(now)))
+            next_beat = now; // the new link has heard nothing from this daemon yet
         auto event = events_.pop_until(next_beat);
         if (!event)
             continue;
@@ -172,9 +173,10 @@
     on_news_({follower_.state(), follower_.confirmed(), leader_heard});
 }
 
-void control_session::take_step(link_step step) {
+// True if there is a new link.
+bool control_session::take_step(link_step step) {
     if (step == link_step::keep)
-        return;
+        return false;
     context_.counters.count(step == link_step::replace ? "link_replaced" : "control_host_changed");
     context_.events->limited(event_line("control_silent")
                                  .add("host", to_string(hosts_[host_]))
@@ -184,6 +186,7 @@
         host_ = (host_ + 1) % hosts_.size();
     }
     connect();
+    return true;
 }
 
 // Hosts that control names come first; seeds may be stale, but may also be all that is left.
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -54,7 +54,7 @@
     void connect();
     void send_heartbeat(time_point now);
     void on_bytes(time_point now, std::string const& bytes);
-    void take_step(link_step step);
+    bool take_step(link_step step);
     void refresh_hosts(std::vector<endpoint> named);
 
     process_context& context_;
