Keep asking upstreams whose agents cannot reach control

By the code the upstream had been forgotten: agents left their control host and, without a heartbeat on the new link, the next ones too, until the lease of 4 s was over; a balancer that never knew the upstream then asked all others and took their denials for the end of the flow.

Ruled out: idle expiry (the flow was 1 s idle), wrong denials of its own agent (tests), hints.

Change: the lease of an upstream that knows its flows is 75 s, above a flow's life; balancers avoid silent ones by themselves. An upstream announced at an agent's address replaces whatever was there. A search is answered whatever service the asker believes in.

Conclusion: a balancer takes a flow for ended only if it asked everyone who may hold it.

--- a/include/toucanusher/version/fleet_state.h
+++ b/include/toucanusher/version/fleet_state.h
@@ -80,6 +80,7 @@
     std::optional<claim_result> run(forget_balancer const& command);
     std::optional<claim_result> run(release_buckets const& command);
     std::optional<claim_result> run(edit_configuration const& command);
+    void forget_predecessors_of(upstream_announcement const& said);
     service_record& ensure_service(std::string const& name);
     claim_book& edit_claims();
     void refresh_settings(std::string const& service);
--- a/include/toucanusher/version/lease_keeper.h
+++ b/include/toucanusher/version/lease_keeper.h
@@ -12,6 +12,11 @@
 
 namespace toucanusher {
 
+// An upstream that knows its own flows may hold some while its agent cannot reach control. It stays
+// among those that are asked for longer than a flow lives (60 s); balancers avoid it for new flows
+// as soon as it does not answer them.
+inline constexpr duration carried_flows_lease = std::chrono::seconds{75};
+
 class lease_keeper {
   public:
     explicit lease_keeper(duration lease) : lease_(lease) {}
@@ -23,7 +28,7 @@
     [[nodiscard]] std::vector<fleet_command> expired(time_point now, fleet_state const& state);
 
   private:
-    [[nodiscard]] bool lapsed(time_point now, time_point& heard) const;
+    [[nodiscard]] bool lapsed(time_point now, time_point& heard, duration lease) const;
 
     duration lease_;
     time_point restarted_{};
--- a/src/connection/upstream_flows.cpp
+++ b/src/connection/upstream_flows.cpp
@@ -52,7 +52,8 @@
 
 agent_output upstream_flows::on_carried(time_point now, packet_head const& head,
                                         carried_packet message) {
-    if (message.service != options_.service) {
+    // A search asks for a flow, whatever the asker believes of the service here.
+    if (message.service != options_.service && message.purpose != carry_purpose::search) {
         note(flow_event::other_service, head.flow);
         if (message.purpose == carry_purpose::open)
             pass_on(head, std::move(message));
--- a/src/version/fleet_state.cpp
+++ b/src/version/fleet_state.cpp
@@ -98,6 +98,8 @@
                                                        upstream_id{next_upstream_});
     if (added)
         ++next_upstream_;
+    if (command.said.knows_flows)
+        forget_predecessors_of(command.said);
     upstream_ref const ref{id->second, command.said.life};
     upstreams_[ref.id] = {ref, service.id, command.said};
     rebalance(service);
@@ -106,6 +108,15 @@
     return std::nullopt;
 }
 
+// An agent of carried flows serves one upstream: whatever had its address before is gone.
+void fleet_state::forget_predecessors_of(upstream_announcement const& said) {
+    std::erase_if(upstreams_, [&](auto const& item) {
+        upstream_announcement const& other = item.second.said;
+        return other.knows_flows && other.agent == said.agent &&
+               (other.name != said.name || other.service != said.service);
+    });
+}
+
 std::optional<claim_result> fleet_state::run(forget_upstream const& command) {
     auto const found = upstreams_.find(command.ref.id);
     if (found == upstreams_.end() || found->second.ref != command.ref)
--- a/src/version/lease_keeper.cpp
+++ b/src/version/lease_keeper.cpp
@@ -18,10 +18,11 @@
 std::vector<fleet_command> lease_keeper::expired(time_point now, fleet_state const& state) {
     std::vector<fleet_command> commands;
     for (upstream_record const* record : state.upstreams())
-        if (lapsed(now, upstreams_.try_emplace(record->ref, now).first->second))
+        if (lapsed(now, upstreams_.try_emplace(record->ref, now).first->second,
+                   record->said.knows_flows ? std::max(lease_, carried_flows_lease) : lease_))
             commands.emplace_back(forget_upstream{record->ref, {}});
     for (auto const& [name, record] : state.balancers())
-        if (lapsed(now, balancers_.try_emplace({name, record.life}, now).first->second))
+        if (lapsed(now, balancers_.try_emplace({name, record.life}, now).first->second, lease_))
             commands.emplace_back(forget_balancer{name, record.life});
     // Members that are no longer in the state need no lease.
     std::erase_if(upstreams_, [&](auto const& item) {
@@ -31,9 +32,9 @@
     return commands;
 }
 
-bool lease_keeper::lapsed(time_point now, time_point& heard) const {
+bool lease_keeper::lapsed(time_point now, time_point& heard, duration lease) const {
     heard = std::max(heard, restarted_);
-    return now - heard > lease_;
+    return now - heard > lease;
 }
 
 } // namespace toucanusher
--- /dev/null
+++ b/tests/carried_members_test.cpp
@@ -0,0 +1,56 @@
+// Upstreams that know their own flows, as members: how long they stay and what replaces them.
+#include <doctest/doctest.h>
+
+#include "toucanusher/version/fleet_state.h"
+#include "toucanusher/version/lease_keeper.h"
+
+namespace toucanusher {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr time_point start{std::chrono::hours{1}};
+constexpr duration lease = seconds{4};
+
+upstream_announcement make_upstream(std::string name, endpoint agent, bool knows_flows = true) {
+    upstream_announcement said;
+    said.service = "batch";
+    said.name = std::move(name);
+    said.life = incarnation{1};
+    said.agent = agent;
+    said.knows_flows = knows_flows;
+    return said;
+}
+
+} // namespace
+
+// Replays a hunted day: an agent did not reach control for some seconds, its upstream was
+// forgotten, a balancer that started then asked everybody else and reset the upstream's flows.
+TEST_CASE("an upstream whose agent cannot reach control is asked for as long as its flows live") {
+    fleet_state state;
+    state.apply(announce_upstream{make_upstream("u", {1, 1}), {}});
+    state.apply(announce_upstream{make_upstream("v", {2, 1}, false), {}});
+    lease_keeper leases(lease);
+    leases.restart(start);
+    CHECK(leases.expired(start, state).empty()); // a lease begins when a member is first seen
+    auto const soon = leases.expired(start + 2 * lease, state);
+    REQUIRE(soon.size() == 1);
+    CHECK(std::get<forget_upstream>(soon[0]).ref == state.upstream_named("batch", "v")->ref);
+    CHECK(leases.expired(start + seconds{70}, state).size() == 1);
+    CHECK(leases.expired(start + seconds{80}, state).size() == 2);
+}
+
+TEST_CASE("a new upstream at an agent's address replaces whatever was there") {
+    fleet_state state;
+    state.apply(announce_upstream{make_upstream("old", {1, 1}), {}});
+    state.apply(announce_upstream{make_upstream("other", {2, 1}), {}});
+    upstream_announcement fresh = make_upstream("new", {1, 1});
+    fresh.service = "artwork";
+    state.apply(announce_upstream{fresh, {}});
+    CHECK(state.upstream_named("batch", "old") == nullptr);
+    CHECK(state.upstream_named("batch", "other") != nullptr);
+    CHECK(state.upstream_named("artwork", "new") != nullptr);
+    CHECK(state.upstreams().size() == 2);
+}
+
+} // namespace toucanusher
--- a/tests/upstream_flows_test.cpp
+++ b/tests/upstream_flows_test.cpp
@@ -151,6 +151,17 @@
         1);
 }
 
+TEST_CASE("a search finds a flow although the asker takes the upstream for another service's") {
+    upstream_flows flows = make_flows();
+    open(flows, flow_a);
+    carried_packet search = known_packet(carry_purpose::search);
+    search.service = "artwork";
+    auto const output = flows.on_carried(start, head_of(flow_a, 5), search);
+    CHECK(actions_of<deliver_packet>(output).size() == 1);
+    REQUIRE(actions_of<notify_balancer>(output).size() == 1);
+    CHECK(actions_of<notify_balancer>(output)[0].notice.report == flow_report::held);
+}
+
 TEST_CASE("an opening packet that the upstream returns or leaves unanswered is passed on") {
     upstream_flows flows = make_flows();
     (void)flows.on_carried(start, opening_head(flow_a), opening_packet({other_agent}, 1));
