--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -31,6 +31,10 @@
     // An opening packet is placed within a few hops of about a millisecond each.
     duration open_patience = std::chrono::milliseconds{60};
     std::uint32_t max_open_attempts = 4;
+    // A search widens step by step. Nearly every flow is at one of its first candidates, so the
+    // cost of finding one does not grow with the fleet.
+    std::uint32_t search_first = 2; // of each service; as many as were compared for the flow
+    std::uint32_t search_next = 6;  // covers the other candidates, and changes of the ranking
     // An agent answers a search within a round trip between availability zones, a few milliseconds.
     duration search_patience = std::chrono::milliseconds{40};
     // Upstreams that left the fleet's state are still asked for this long: the flow may be there.
@@ -132,12 +136,16 @@
         std::uint32_t copies = 0; // that the caller sent before
         time_point deadline{};
     };
+    // The steps of a search, each asks more agents than the one before.
+    enum class search_reach : std::uint8_t { candidates, neighbours, services, everywhere };
     struct search {
-        std::vector<std::string> parked;  // the first one is what is searched with
-        std::vector<endpoint> unanswered; // agents that did not yet say that they do not hold it
-        bool everywhere = false;          // all services were asked
+        std::vector<std::string> parked; // the first one is what is searched with
+        search_reach reach = search_reach::candidates;
+        std::vector<endpoint> asked;      // all of them
+        std::vector<endpoint> unanswered; // asked ones that did not yet deny that they hold it
+        std::vector<endpoint> awaited;    // those of the present step
         std::uint32_t expected = 0;       // sequence number that the caller waits for
-        time_point deadline{};
+        time_point deadline{};            // of the present step
     };
     struct early_packet {
         packet_head head;
@@ -146,6 +154,7 @@
     };
     struct known_agent {
         std::string service;
+        std::uint64_t seed = 0;         // of its upstream's place in the order of candidates
         std::optional<time_point> left; // when it left the view
     };
 
@@ -155,9 +164,12 @@
     void place(time_point now, packet_flow const& flow, opening& open);
     void start_search(time_point now, packet_flow const& flow, std::string packet,
                       std::uint32_t expected, endpoint except);
-    void ask_agents(time_point now, search& open,
-                    std::function<bool(std::string const& service)> const& wanted);
-    void search_everywhere(time_point now, packet_flow const& flow, search& open);
+    void ask_agents(time_point now, packet_flow const& flow, search& open);
+    void widen_search(time_point now, packet_flow const& flow, search& open);
+    [[nodiscard]] std::vector<endpoint> next_to_ask(packet_flow const& flow,
+                                                    search const& open) const;
+    [[nodiscard]] std::vector<endpoint>
+    first_of_service(packet_flow const& flow, search const& open, std::string const& service) const;
     void on_not_held(time_point now, endpoint agent, flow_notice const& notice);
     void deliver(time_point now, packet_flow const& flow, hint& known, std::string packet);
     void note(router_event event, packet_flow const& flow, endpoint agent = {});
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -41,6 +41,16 @@
         known.erase(known.begin());
 }
 
+bool contains(std::vector<endpoint> const& agents, endpoint agent) {
+    return std::find(agents.begin(), agents.end(), agent) != agents.end();
+}
+
+// The next step of a search; the last one stays.
+template <typename Reach>
+Reach wider(Reach reach) {
+    return reach == Reach::everywhere ? reach : static_cast<Reach>(static_cast<int>(reach) + 1);
+}
+
 } // namespace
 
 char const* to_string(router_event event) {
@@ -93,7 +103,7 @@
         known.left = known.left ? known.left : std::optional{now};
     for (auto const& [service, choices] : view.upstreams)
         for (upstream_choice const& choice : choices)
-            agents_[choice.agent] = {service, std::nullopt};
+            agents_[choice.agent] = {service, hash_name(choice.name), std::nullopt};
     std::erase_if(agents_, [&](auto const& item) {
         return item.second.left && now - *item.second.left > options_.remember_upstreams;
     });
@@ -193,14 +203,16 @@
             start_search(now, flow, notice.packet, notice.caller_expects, agent);
         return;
     }
-    std::erase(open->second.unanswered, agent);
-    if (open->second.unanswered.empty() && !open->second.everywhere)
-        search_everywhere(now, flow, open->second);
-    if (!open->second.unanswered.empty())
+    search& asking = open->second;
+    std::erase(asking.unanswered, agent);
+    std::erase(asking.awaited, agent);
+    if (asking.awaited.empty() && asking.reach != search_reach::everywhere)
+        widen_search(now, flow, asking);
+    if (asking.reach != search_reach::everywhere || !asking.unanswered.empty())
         return;
     // Nobody that could hold it does: the caller need not wait for its deadline.
     note(router_event::flow_is_over, flow);
-    output_.actions.emplace_back(refuse_flow{flow, open->second.expected});
+    output_.actions.emplace_back(refuse_flow{flow, asking.expected});
     searches_.erase(open);
 }
 
@@ -225,8 +237,8 @@
         auto const open = at++;
         if (now < open->second.deadline)
             continue;
-        if (!open->second.everywhere) {
-            search_everywhere(now, open->first, open->second);
+        if (open->second.reach != search_reach::everywhere) {
+            widen_search(now, open->first, open->second);
             continue;
         }
         note(router_event::not_found, open->first,
@@ -275,7 +287,7 @@
     std::vector<upstream_choice const*> const ranked = rank(now, open.service, flow);
     std::vector<endpoint> candidates;
     for (upstream_choice const* choice : ranked)
-        if (std::find(open.asked.begin(), open.asked.end(), choice->agent) == open.asked.end())
+        if (!contains(open.asked, choice->agent))
             candidates.push_back(choice->agent);
     if (candidates.empty())
         for (upstream_choice const* choice : ranked)
@@ -314,24 +326,25 @@
     search& open = searches_[flow];
     open.parked.push_back(std::move(packet));
     open.expected = expected;
-    std::vector<std::string> const& services = services_of(flow);
-    ask_agents(now, open, [&](std::string const& service) {
-        return std::find(services.begin(), services.end(), service) != services.end();
-    });
-    std::erase(open.unanswered, except);
+    open.asked.push_back(except);
+    ask_agents(now, flow, open);
 }
 
-// Sends the packet to agents that were not asked yet.
-void packet_router::ask_agents(time_point now, search& open,
-                               std::function<bool(std::string const& service)> const& wanted) {
+// Asks the agents of the present step, or of the next one that has any.
+void packet_router::ask_agents(time_point now, packet_flow const& flow, search& open) {
     open.deadline = now + options_.search_patience;
-    for (auto const& [agent, known] : agents_) {
-        if (!wanted(known.service))
-            continue;
+    for (;;) {
+        open.awaited = next_to_ask(flow, open);
+        if (!open.awaited.empty() || open.reach == search_reach::everywhere)
+            break;
+        open.reach = wider(open.reach);
+    }
+    for (endpoint const agent : open.awaited) {
+        open.asked.push_back(agent);
         open.unanswered.push_back(agent);
         output_.actions.emplace_back(carry_to_agent{agent,
                                                     {.purpose = carry_purpose::search,
-                                                     .service = known.service,
+                                                     .service = agents_.at(agent).service,
                                                      .origin = options_.self,
                                                      .candidates = {},
                                                      .best = {},
@@ -339,13 +352,45 @@
     }
 }
 
-// An earlier configuration may have sent the flow to a service that its route no longer names.
-void packet_router::search_everywhere(time_point now, packet_flow const& flow, search& open) {
-    open.everywhere = true;
-    std::vector<std::string> const& services = services_of(flow);
-    ask_agents(now, open, [&](std::string const& service) {
-        return std::find(services.begin(), services.end(), service) == services.end();
-    });
+void packet_router::widen_search(time_point now, packet_flow const& flow, search& open) {
+    open.reach = wider(open.reach);
+    ask_agents(now, flow, open);
+}
+
+std::vector<endpoint> packet_router::next_to_ask(packet_flow const& flow,
+                                                 search const& open) const {
+    std::vector<endpoint> next;
+    // An earlier configuration may have sent the flow to a service that its route no longer names.
+    if (open.reach == search_reach::everywhere) {
+        for (auto const& [agent, known] : agents_)
+            if (!contains(open.asked, agent))
+                next.push_back(agent);
+        return next;
+    }
+    for (std::string const& service : services_of(flow))
+        for (endpoint const agent : first_of_service(flow, open, service))
+            next.push_back(agent);
+    return next;
+}
+
+// Agents of a service that were not asked, those that the flow would be offered to first.
+std::vector<endpoint> packet_router::first_of_service(packet_flow const& flow, search const& open,
+                                                      std::string const& service) const {
+    std::vector<std::pair<std::uint64_t, endpoint>> ordered;
+    for (auto const& [agent, known] : agents_)
+        if (known.service == service && !contains(open.asked, agent))
+            ordered.emplace_back(hash_flow(flow, known.seed), agent);
+    std::sort(ordered.begin(), ordered.end());
+    std::size_t most = ordered.size();
+    if (open.reach == search_reach::candidates)
+        most = options_.search_first;
+    else if (open.reach == search_reach::neighbours)
+        most = options_.search_next;
+    ordered.resize(std::min(most, ordered.size()));
+    std::vector<endpoint> agents;
+    for (auto const& [order, agent] : ordered)
+        agents.push_back(agent);
+    return agents;
 }
 
 void packet_router::deliver(time_point now, packet_flow const& flow, hint& known,
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -126,6 +126,58 @@
     CHECK(found[0].message.service == "artwork");
 }
 
+// Replays the restart of a balancer beside many upstreams: each flow that comes to another balancer
+// is searched, and the searches share one thin link.
+TEST_CASE("finding a flow costs as much with many upstreams as with few") {
+    constexpr std::uint32_t upstreams = 50;
+    packet_router router = make_router();
+    router_view view = make_view(make_routes(1, {{"batch", 1}}));
+    view.upstreams["batch"].clear();
+    for (std::uint32_t i = 0; i < upstreams; ++i)
+        view.upstreams["batch"].push_back({"u" + std::to_string(i), {100 + i, 1}, "a", i % 7 == 0});
+    (void)router.set_view(start, view);
+    for (std::uint16_t port = 1; port <= 100; ++port) {
+        packet_flow const flow{{1, port}, route_address};
+        auto const placed = carried(router.on_packet(start, head_of(flow, true), "opening"));
+        REQUIRE(placed.size() == 1);
+        endpoint const second = placed[0].message.candidates.front();
+        packet_router other = make_router();
+        (void)other.set_view(start, view);
+        auto const asked = agents_of(other.on_packet(start, head_of(flow, false), "data"));
+        CHECK(asked.size() <= 4); // of what is left of the first view as well
+        bool const draining_first = !asked.contains(placed[0].agent) || !asked.contains(second);
+        auto const next = agents_of(other.on_tick(start + milliseconds{50}));
+        CHECK(next.size() <= 8);
+        if (draining_first)
+            CHECK((next.contains(placed[0].agent) || next.contains(second)));
+    }
+}
+
+TEST_CASE("a search among many upstreams ends only when all of them were asked") {
+    constexpr std::uint32_t upstreams = 50;
+    packet_router router = make_router();
+    router_view view = make_view(make_routes(1, {{"batch", 1}}));
+    for (std::uint32_t i = 0; i < upstreams; ++i)
+        view.upstreams["batch"].push_back({"v" + std::to_string(i), {100 + i, 1}, "a", false});
+    (void)router.set_view(start, view);
+    std::set<endpoint> denied;
+    auto asked = agents_of(router.on_packet(start, head_of(flow_a, false), "data"));
+    std::size_t refusals = 0;
+    while (!asked.empty()) {
+        CHECK(refusals == 0);
+        std::set<endpoint> more;
+        for (endpoint const agent : asked) {
+            CHECK(denied.insert(agent).second);
+            auto const out = router.on_notice(start, agent, notice_of(flow_report::not_held));
+            refusals += refused(out).size();
+            more.merge(agents_of(out));
+        }
+        asked = more;
+    }
+    CHECK(refusals == 1);
+    CHECK(denied.size() == upstreams + 3);
+}
+
 TEST_CASE("a caller is told that its flow is over only when every agent denies it") {
     packet_router router = make_router();
     (void)router.on_packet(start, head_of(flow_a, false), "data");
