--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -126,6 +126,20 @@
     CHECK(found[0].message.service == "artwork");
 }
 
+// Replays a change of the configuration in the middle of a search (hunt-9581-43): the route gains
+// the service that holds the flow, after the services of the route were asked and before the rest.
+TEST_CASE("a flow is not over while an agent was never asked, whatever its route names meanwhile") {
+    packet_router router = make_router({{"batch", 1}});
+    (void)router.on_packet(start, head_of(flow_a, false), "data");
+    (void)router.set_view(start, make_view(make_routes(2, {{"batch", 1}, {"artwork", 1}})));
+    (void)router.on_notice(start, first_agent, notice_of(flow_report::not_held));
+    auto const wide = router.on_notice(start, second_agent, notice_of(flow_report::not_held));
+    CHECK(refused(wide).empty());
+    CHECK(agents_of(wide) == std::set<endpoint>{art_agent});
+    CHECK(carried(router.on_notice(start, art_agent, notice_of(flow_report::held))).empty());
+    CHECK(carried(router.on_packet(start, head_of(flow_a, false), "more"))[0].agent == art_agent);
+}
+
 // Replays the restart of a balancer beside many upstreams: each flow that comes to another balancer
 // is searched, and the searches share one thin link.
 TEST_CASE("finding a flow costs as much with many upstreams as with few") {
