--- a/include/toucanusher/process/host_roster.h
+++ b/include/toucanusher/process/host_roster.h
@@ -18,7 +18,7 @@
     void heard(time_point now, host_id host, endpoint where);
     // Addresses at which hosts may be found: from settings files or other hosts.
     void set_seeds(std::vector<endpoint> seeds);
-    void learn(std::map<host_id, endpoint> const& hosts);
+    void learn(std::vector<endpoint> const& hosts);
     // Starts silence anew, for a host that begins to lead.
     void restart(time_point now, log_members const& members);
 
--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -90,6 +90,8 @@
     // A message of another host came from `where`.
     void note_host(time_point now, host_id host, endpoint where);
     void set_seeds(std::vector<endpoint> seeds) { roster_.set_seeds(std::move(seeds)); }
+    // Link addresses of other hosts, from a process that is none itself.
+    void learn_hosts(std::vector<endpoint> const& hosts) { roster_.learn(hosts); }
     [[nodiscard]] std::optional<endpoint> address_of(host_id host) const;
 
     [[nodiscard]] replicated_log const& log() const { return log_; }
--- a/include/toucanusher/version/control_message.h
+++ b/include/toucanusher/version/control_message.h
@@ -46,6 +46,8 @@
     std::optional<duration> leader_age;         // since the sender was in touch with a leader
     std::optional<std::uint64_t> confirmed_for; // process that asked; `newest` is fresh for it
     std::vector<endpoint> control_hosts; // present ones, for the next time the sender is silent
+    // The sender keeps no state: the hosts that it names do.
+    bool directory_only = false;
 
     friend bool operator==(state_update const&, state_update const&) = default;
 };
@@ -196,9 +198,11 @@
     host_id host{};
     endpoint where;
 };
-// Answers a join request with what the asked host knows.
+// Answers a join request with what the asked process knows. One that is no control host itself
+// sends it without the envelope of hosts.
 struct host_directory {
-    std::map<host_id, endpoint> hosts;
+    endpoint sender;             // link address
+    std::vector<endpoint> hosts; // link addresses of control hosts
 };
 
 // Between control hosts: an encoded message with its sender, which the seal covers.
--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -311,6 +311,9 @@
         } else if (auto const* beat = std::get_if<heartbeat>(&*message)) {
             client_keys_.erase(client);
             carry_out(host_->on_heartbeat(now, client, *beat));
+        } else if (auto const* directory = std::get_if<host_directory>(&*message)) {
+            links_.heard(directory->sender);
+            host_->learn_hosts(directory->hosts);
         } else {
             on_peer_message(now, *message);
         }
--- /dev/null
+++ b/programs/control_redirector.cpp
@@ -0,0 +1,209 @@
+#include "programs/control_redirector.h"
+
+#include <atomic>
+#include <mutex>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+
+#include "programs/control_links.h"
+#include "programs/control_session.h"
+#include "src/process/io/link.h"
+#include "src/version/control_codec.h"
+#include "toucanusher/process/duty.h"
+#include "toucanusher/process/ring.h"
+
+namespace toucanusher {
+
+namespace {
+
+// A control host answers each heartbeat, one a second; callers are not sent to one that missed two.
+constexpr std::chrono::milliseconds host_silence{2500};
+constexpr std::size_t event_ring = 1024;
+
+struct received_bytes {
+    link_peer peer{};
+    std::string bytes;
+};
+
+// Written by the session's duty, read by the others.
+class host_list {
+  public:
+    void set(endpoint in_touch, std::vector<endpoint> hosts) {
+        std::lock_guard const lock(mutex_);
+        in_touch_ = in_touch;
+        hosts_ = std::move(hosts);
+    }
+    [[nodiscard]] endpoint in_touch() const {
+        std::lock_guard const lock(mutex_);
+        return in_touch_;
+    }
+    [[nodiscard]] std::vector<endpoint> hosts() const {
+        std::lock_guard const lock(mutex_);
+        return hosts_;
+    }
+
+  private:
+    mutable std::mutex mutex_;
+    endpoint in_touch_;           // empty until one was heard; guarded by mutex_
+    std::vector<endpoint> hosts_; // guarded by mutex_
+};
+
+class control_redirector final : public daemon_process {
+  public:
+    control_redirector(process_context& context, operator_api_hook operator_api)
+        : context_(context), own_(*context.config.automatic),
+          operator_api_(std::move(operator_api)), events_(event_ring), links_(context) {}
+
+    ~control_redirector() override {
+        admin_.reset();
+        api_.reset();
+        readiness_.reset();
+        server_.reset();
+        events_.close();
+        answer_.reset();
+        if (session_)
+            session_->close();
+    }
+    control_redirector(control_redirector const&) = delete;
+    control_redirector& operator=(control_redirector const&) = delete;
+
+    absl::Status start() {
+        context_.events->info(event_line("control_redirector")
+                                  .add("listen", to_string(own_.listen))
+                                  .add("api", to_string(own_.api)));
+        session_ = std::make_unique<control_session>(
+            context_, daemon_role::control,
+            [this](control_news const& news) { known_.set(news.host, news.control_hosts); });
+        heartbeat content;
+        content.follows_state = false;
+        session_->announce(std::move(content));
+        auto server = link_server::open(own_.listen, [this](link_peer peer, std::string bytes) {
+            if (!events_.try_push({peer, std::move(bytes)}))
+                context_.counters.count_refusal("control", "ring_full");
+        });
+        if (!server.ok())
+            return server.status();
+        server_ = *std::move(server);
+        answer_ = std::make_unique<duty>("answer", [this] {
+            while (auto const event = events_.pop())
+                on_bytes(event->peer, event->bytes);
+        });
+        return open_http();
+    }
+
+    void set_seeds(std::vector<endpoint> seeds) override { session_->set_seeds(std::move(seeds)); }
+    void begin_stop() override { context_.on_stopped(); }
+    [[nodiscard]] std::string unfinished_work() const override { return "nothing"; }
+
+  private:
+    absl::Status open_http() {
+        auto const healthy = [this] { return target().has_value(); };
+        operator_calls const calls{
+            [this](configuration const& candidate, configuration_responder const& respond) {
+                redirect("write", candidate.number, respond);
+            },
+            [this](configuration_responder const& respond) { redirect("read", 0, respond); },
+            healthy};
+        for (auto const& [where, server] :
+             {std::pair{own_.api, &api_}, std::pair{own_.readiness, &readiness_}}) {
+            auto opened = http_server::open(where, operator_api_(calls, own_.api.port));
+            if (!opened.ok())
+                return opened.status();
+            *server = *std::move(opened);
+        }
+        auto admin = open_admin(context_, healthy, [this] { return status(); });
+        if (!admin.ok())
+            return admin.status();
+        admin_ = *std::move(admin);
+        return absl::OkStatus();
+    }
+
+    // The control host in touch, unless it has been silent for too long.
+    [[nodiscard]] std::optional<endpoint> target() const {
+        endpoint const host = known_.in_touch();
+        if (host.empty() || session_->silence() > host_silence)
+            return std::nullopt;
+        return host;
+    }
+
+    void redirect(char const* what, std::uint64_t number, configuration_responder const& respond) {
+        auto const host = target();
+        context_.events->limited(event_line("call_redirected")
+                                     .add("call", what)
+                                     .add("number", number)
+                                     .add("host", host ? to_string(*host) : "none"));
+        configuration_answer answer;
+        if (host)
+            answer = {0, configuration_verdict::elsewhere, host, {}};
+        respond(std::move(answer));
+    }
+
+    void on_bytes(link_peer peer, std::string const& bytes) {
+        auto const opened = context_.sealer->open(bytes);
+        if (auto const* refusal = std::get_if<seal_refusal>(&opened)) {
+            context_.counters.count_refusal("control", to_string(*refusal));
+            return;
+        }
+        auto const& plain = std::get<opened_message>(opened);
+        auto const message = decode_control_message(plain.plain);
+        if (!message.ok() || !plain.from_fleet())
+            context_.counters.count_refusal("control", "malformed");
+        else if (std::holds_alternative<heartbeat>(*message))
+            answer_daemon(peer);
+        else if (auto const* host = std::get_if<host_message>(&*message))
+            answer_host(host->where);
+        else
+            context_.counters.count_refusal("control", "unexpected_message");
+    }
+
+    void answer_daemon(link_peer peer) {
+        state_update update;
+        update.directory_only = true;
+        update.control_hosts = known_.hosts();
+        if (!server_->send(peer, context_.sealer->seal(encode_control_message(update))))
+            context_.counters.count_refusal("control", "link_send_failed");
+    }
+
+    // A host that sends to this address looks for others.
+    void answer_host(endpoint where) {
+        time_point const now = context_.clock.now();
+        host_directory const directory{own_.listen, known_.hosts()};
+        links_.send(now, where, context_.sealer->seal(encode_control_message(directory)));
+        links_.heard(where);
+        links_.on_tick(now);
+    }
+
+    [[nodiscard]] std::string status() const {
+        return absl::StrCat("{\"role\":\"control\",\"redirects_to\":\"",
+                            to_string(known_.in_touch()), "\",\"hosts\":", known_.hosts().size(),
+                            "}\n");
+    }
+
+    process_context& context_;
+    automatic_control own_;
+    operator_api_hook operator_api_;
+    host_list known_;
+    ring<received_bytes> events_;
+    control_links links_; // only the answer duty touches it
+    std::unique_ptr<control_session> session_;
+    std::unique_ptr<link_server> server_;
+    std::unique_ptr<http_server> api_;
+    std::unique_ptr<http_server> readiness_;
+    std::unique_ptr<http_server> admin_;
+    std::unique_ptr<duty> answer_;
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<daemon_process>> make_control_redirector(process_context& context,
+                                                                        operator_api_hook api) {
+    auto process = std::make_unique<control_redirector>(context, std::move(api));
+    if (auto const status = process->start(); !status.ok())
+        return status;
+    return process;
+}
+
+} // namespace toucanusher
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -22,17 +22,11 @@
 } // namespace
 
 control_session::control_session(process_context& context, daemon_role role, news_hook on_news)
-    : context_(context), role_(role), on_news_(std::move(on_news)), events_(event_ring),
+    : context_(context), role_(role), on_news_(std::move(on_news)),
+      contacts_(make_contacts(context.config)), events_(event_ring),
       follower_(make_state_codec(), context.process),
       monitor_({.first_silence = first_silence, .replacements_per_peer = 0}, context.clock.now()),
       heard_(time_point{}) {
-    for (auto const& [id, where] : context.config.control_hosts)
-        seeds_.push_back(where);
-    for (endpoint const& where : seed_links(context.config))
-        seeds_.push_back(where);
-    hosts_ = seeds_;
-    // Daemons spread over the control hosts by their names.
-    host_ = std::hash<std::string>{}(context.config.name) % hosts_.size();
     duty_ = std::make_unique<duty>("control-link", [this] { run(); });
 }
 
@@ -62,8 +56,8 @@
 }
 
 void control_session::set_seeds(std::vector<endpoint> seeds) {
-    std::lock_guard const lock(mutex_);
-    seeds_ = std::move(seeds);
+    if (!events_.try_push(new_seeds{std::move(seeds)}))
+        context_.counters.count_refusal("control", "ring_full");
 }
 
 void control_session::close() {
@@ -83,15 +77,19 @@
             next_beat = now + (settled() ? heartbeat_interval : first_heartbeat_interval);
         }
         if (take_step(monitor_.on_tick(now)))
-            next_beat = now; // the new link has heard nothing from this daemon yet
+            next_beat = now;
         auto event = events_.pop_until(next_beat);
         if (!event)
             continue;
         version_number const before = follower_.version();
         if (auto const* bytes = std::get_if<std::string>(&*event))
             on_bytes(context_.clock.now(), *bytes);
+        else if (auto* seeds = std::get_if<new_seeds>(&*event))
+            contacts_.set_seeds(std::move(seeds->links));
         else
             next_beat = context_.clock.now();
+        if (std::exchange(new_link_, false))
+            next_beat = context_.clock.now();
         if (follower_.version() != before || std::exchange(ask_again_, false))
             next_beat = std::min(next_beat, context_.clock.now() + report_within);
     }
@@ -108,7 +106,7 @@
 
 void control_session::connect() {
     link_.reset();
-    auto link = link_client::open(hosts_[host_], [this](std::string bytes) {
+    auto link = link_client::open(contacts_.current(), [this](std::string bytes) {
         if (!events_.try_push(std::move(bytes)))
             context_.counters.count_refusal("control", "ring_full");
     });
@@ -151,8 +149,11 @@
         context_.counters.count_refusal("control", "malformed");
         return;
     }
-    if (!update->control_hosts.empty() && update->control_hosts != named_)
-        refresh_hosts(update->control_hosts);
+    if (update->directory_only) {
+        on_directory(update->control_hosts);
+        return;
+    }
+    contacts_.learn(update->control_hosts);
     version_number const before = follower_.version();
     update_outcome const outcome = follower_.on_update(now, *update);
     if (outcome == update_outcome::malformed)
@@ -170,7 +171,20 @@
     if (value_of(follower_.version()) > value_of(before) + update->commands.size())
         context_.counters.count("snapshot_applied");
     time_point const leader_heard = update->leader_age ? now - *update->leader_age : time_point{};
-    on_news_({follower_.state(), follower_.confirmed(), leader_heard});
+    on_news_({follower_.state(), follower_.confirmed(), leader_heard, contacts_.current(),
+              contacts_.named()});
+}
+
+// If it knows no other process, it counts as silent.
+void control_session::on_directory(std::vector<endpoint> const& control_hosts) {
+    endpoint const asked = contacts_.current();
+    if (!contacts_.follow_directory(control_hosts))
+        return;
+    context_.events->limited(event_line("control_elsewhere")
+                                 .add("asked", to_string(asked))
+                                 .add("next", to_string(contacts_.current())));
+    connect();
+    new_link_ = true;
 }
 
 // True if there is a new link.
@@ -179,32 +193,21 @@
         return false;
     context_.counters.count(step == link_step::replace ? "link_replaced" : "control_host_changed");
     context_.events->limited(event_line("control_silent")
-                                 .add("host", to_string(hosts_[host_]))
+                                 .add("host", to_string(contacts_.current()))
                                  .add("step", step == link_step::replace ? "replace" : "next"));
-    if (step == link_step::next_peer) {
-        refresh_hosts(named_);
-        host_ = (host_ + 1) % hosts_.size();
-    }
+    if (step == link_step::next_peer)
+        contacts_.leave_current();
     connect();
     return true;
 }
 
-// Hosts that control names come first; seeds may be stale, but may also be all that is left.
-void control_session::refresh_hosts(std::vector<endpoint> named) {
-    if (!named.empty())
-        named_ = std::move(named);
-    std::vector<endpoint> hosts = named_;
-    std::lock_guard const lock(mutex_);
-    for (endpoint const& seed : seeds_)
-        if (std::find(hosts.begin(), hosts.end(), seed) == hosts.end())
-            hosts.push_back(seed);
-    endpoint const current = hosts_[host_];
-    auto const at = std::find(hosts.begin(), hosts.end(), current);
-    host_ = at == hosts.end() ? 0 : static_cast<std::size_t>(at - hosts.begin());
-    if (at == hosts.end()) {
-        hosts.insert(hosts.begin(), current);
-    }
-    hosts_ = std::move(hosts);
+control_contacts control_session::make_contacts(daemon_config const& config) {
+    std::vector<endpoint> seeds;
+    for (auto const& [id, where] : config.control_hosts)
+        seeds.push_back(where);
+    for (endpoint const& where : seed_links(config))
+        seeds.push_back(where);
+    return {std::move(seeds), std::hash<std::string>{}(config.name)};
 }
 
 } // namespace toucanusher
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -15,6 +15,7 @@
 #include "toucanusher/connection/link_monitor.h"
 #include "toucanusher/process/duty.h"
 #include "toucanusher/process/ring.h"
+#include "toucanusher/version/control_contacts.h"
 #include "toucanusher/version/state_follower.h"
 
 namespace toucanusher {
@@ -23,6 +24,8 @@
     std::shared_ptr<fleet_state const> state;
     bool confirmed = false;
     time_point heard{}; // control, with a leader in touch
+    endpoint host;      // that said so
+    std::vector<endpoint> control_hosts;
 };
 
 class control_session {
@@ -47,31 +50,34 @@
 
   private:
     struct beat_now {};
-    using event = std::variant<std::string, beat_now>; // sealed bytes, or a wish to speak
+    struct new_seeds {
+        std::vector<endpoint> links;
+    };
+    // Sealed bytes, a wish to speak, or other seeds.
+    using event = std::variant<std::string, beat_now, new_seeds>;
 
     void run();
     [[nodiscard]] bool settled() const;
     void connect();
     void send_heartbeat(time_point now);
     void on_bytes(time_point now, std::string const& bytes);
+    void on_directory(std::vector<endpoint> const& control_hosts);
     bool take_step(link_step step);
-    void refresh_hosts(std::vector<endpoint> named);
+    static control_contacts make_contacts(daemon_config const& config);
 
     process_context& context_;
     daemon_role role_;
     news_hook on_news_;
-    std::vector<endpoint> hosts_; // never empty; only the duty touches it
-    std::size_t host_ = 0;        // index of the one in use
+    control_contacts contacts_; // only the duty touches it
     ring<event> events_;
     std::unique_ptr<link_client> link_; // only the duty touches it
     state_follower follower_;           // only the duty touches it
     link_monitor monitor_;
     bool ask_again_ = false; // an update came that does not follow on what is applied
+    bool new_link_ = false;  // that has heard nothing from this daemon yet
     mutable std::mutex mutex_;
     heartbeat content_;                     // guarded by mutex_
     std::vector<release_buckets> releases_; // guarded by mutex_
-    std::vector<endpoint> seeds_;           // guarded by mutex_
-    std::vector<endpoint> named_;           // by control itself; only the duty touches it
     std::atomic<std::uint64_t> applied_{0};
     std::atomic<time_point> heard_;
     std::unique_ptr<duty> duty_;
--- a/programs/toucanusherd.cpp
+++ b/programs/toucanusherd.cpp
@@ -16,6 +16,7 @@
 #include "programs/agent_process.h"
 #include "programs/balancer_process.h"
 #include "programs/control_process.h"
+#include "programs/control_redirector.h"
 #include "programs/packet_agent.h"
 #include "programs/packet_balancer.h"
 #include "programs/process_context.h"
@@ -62,6 +63,8 @@
         return context.config.packets ? make_packet_agent(context, front)
                                       : make_agent_process(context);
     case process_role::control:
+        if (context.config.automatic && context.config.data_folder.empty())
+            return make_control_redirector(context, front.operator_api);
         return make_control_process(context, start, front.operator_api);
     }
     return absl::InternalError("no such role");
--- a/src/process/host_roster.cpp
+++ b/src/process/host_roster.cpp
@@ -12,8 +12,8 @@
     seeds_ = std::move(seeds);
 }
 
-void host_roster::learn(std::map<host_id, endpoint> const& hosts) {
-    for (auto const& [id, where] : hosts)
+void host_roster::learn(std::vector<endpoint> const& hosts) {
+    for (endpoint const& where : hosts)
         if (learned_.size() < max_learned)
             learned_.insert(where);
 }
--- a/src/version/control_codec.cpp
+++ b/src/version/control_codec.cpp
@@ -25,7 +25,8 @@
 template <typename Archive>
 auto fields(Archive& archive, state_update& value) {
     return detail::list_fields(archive, value.base, value.newest, value.commands, value.snapshot,
-                               value.leader_age, value.confirmed_for, value.control_hosts);
+                               value.leader_age, value.confirmed_for, value.control_hosts,
+                               value.directory_only);
 }
 template <typename Archive>
 auto fields(Archive& archive, read_settings& value) {
@@ -117,7 +118,7 @@
 }
 template <typename Archive>
 auto fields(Archive& archive, host_directory& value) {
-    return detail::list_fields(archive, value.hosts);
+    return detail::list_fields(archive, value.sender, value.hosts);
 }
 
 std::string encode_control_message(control_message const& message) {
--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -116,9 +116,10 @@
         return; // was passed on
     if (log_.role() != log_role::leader && log_.leader() && *log_.leader() != from)
         output_.to_hosts.push_back({*log_.leader(), request});
-    std::map<host_id, endpoint> known = log_.members().addresses;
+    std::vector<endpoint> known = host_addresses();
     if (!known.empty())
-        output_.to_hosts.push_back({from, host_directory{std::move(known)}});
+        output_.to_hosts.push_back(
+            {from, host_directory{options_.self_address, std::move(known)}});
 }
 
 std::vector<endpoint> control_host::host_addresses() const {
