--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -7,7 +7,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,6 +17,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include "toucanusher/connection/carried_message.h"
+#include "toucanusher/connection/flow_search.h"
 #include "toucanusher/process/clock.h"
 #include "toucanusher/version/route_book.h"
 
@@ -31,16 +31,7 @@
     // An opening packet is placed within a few hops of about a millisecond each.
     duration open_patience = std::chrono::milliseconds{60};
     std::uint32_t max_open_attempts = 4;
-    // A search widens step by step. Nearly every flow is at one of its first candidates, so the
-    // cost of finding one does not grow with the fleet.
-    std::uint32_t search_first = 2; // of each service; as many as were compared for the flow
-    std::uint32_t search_next = 6;  // covers the other candidates, and changes of the ranking
-    // An agent answers a search within a round trip between availability zones, a few milliseconds.
-    duration search_patience = std::chrono::milliseconds{40};
-    // Upstreams that left the fleet's state are still asked for this long: the flow may be there.
-    duration remember_upstreams = std::chrono::seconds{75};
-    std::size_t max_parked_packets = 16; // of one flow: what a caller has in flight at most
-    std::size_t max_searches = 4096;
+    std::size_t max_openings = 4096;
     duration hint_lifetime = std::chrono::seconds{90}; // above a flow's longest life
     std::size_t max_hints = 200000;
     // Packets that come before the first configuration wait for it this long: callers repeat them
@@ -50,32 +41,18 @@
     duration suspicion = std::chrono::seconds{1}; // an agent that did not answer is avoided
 };
 
-// An upstream as the balancer may choose it.
-struct upstream_choice {
-    std::string name;
-    endpoint agent;
-    std::string zone;
-    bool draining = false;
-
-    friend bool operator==(upstream_choice const&, upstream_choice const&) = default;
-};
-
 // What the balancer knows of the fleet, at one version.
 struct router_view {
-    std::shared_ptr<configuration const> routes;                   // never null
-    std::map<std::string, std::vector<upstream_choice>> upstreams; // by service
+    std::shared_ptr<configuration const> routes; // never null
+    upstreams_by_service upstreams;
 };
 
-struct carry_to_agent {
-    endpoint agent;
-    carried_packet message;
-};
 // The caller is told that its flow was not opened, or is over.
 struct refuse_flow {
     packet_flow flow;
     std::uint32_t sequence = 0; // of the next byte that the caller expects
 };
-using router_action = std::variant<carry_to_agent, refuse_flow>;
+using router_action = std::variant<carry_to_agent, query_agent, refuse_flow>;
 
 enum class router_event : std::uint8_t {
     placing, // a new flow was sent to its candidates
@@ -89,6 +66,7 @@
     nobody_takes,
     not_found,
     flow_is_over, // every agent says that its upstream does not hold the flow
+    old_view,     // so say all that are known, but control was not heard for a while
     overflow,     // too many searches or parked packets
 };
 char const* to_string(router_event event);
@@ -112,8 +90,11 @@
 
     // Packets that waited for the first configuration go on their way.
     router_output set_view(time_point now, router_view view);
+    // When a control host in touch with a leader was last heard.
+    void heard_control(time_point when) { search_.heard_control(when); }
     router_output on_packet(time_point now, packet_head const& head, std::string packet);
     router_output on_notice(time_point now, endpoint agent, flow_notice const& notice);
+    router_output on_answer(time_point now, endpoint agent, flow_answer const& answer);
     router_output on_tick(time_point now);
     // When on_tick() has something to do next.
     [[nodiscard]] std::optional<time_point> next_due() const;
@@ -136,41 +117,22 @@
         std::uint32_t copies = 0; // that the caller sent before
         time_point deadline{};
     };
-    // The steps of a search, each asks more agents than the one before.
-    enum class search_reach : std::uint8_t { candidates, neighbours, services, everywhere };
-    struct search {
-        std::vector<std::string> parked; // the first one is what is searched with
-        search_reach reach = search_reach::candidates;
-        std::vector<endpoint> asked;      // all of them
-        std::vector<endpoint> unanswered; // asked ones that did not yet deny that they hold it
-        std::vector<endpoint> awaited;    // those of the present step
-        std::uint32_t expected = 0;       // sequence number that the caller waits for
-        time_point deadline{};            // of the present step
-    };
     struct early_packet {
         packet_head head;
         std::string packet;
         time_point came{};
     };
-    struct known_agent {
-        std::string service;
-        std::uint64_t seed = 0;         // of its upstream's place in the order of candidates
-        std::optional<time_point> left; // when it left the view
-    };
 
     void route_packet(time_point now, packet_head const& head, std::string packet);
     void keep_early(time_point now, packet_head const& head, std::string packet);
     void open_flow(time_point now, packet_head const& head, std::string packet);
     void place(time_point now, packet_flow const& flow, opening& open);
+    void place_late_ones(time_point now);
     void start_search(time_point now, packet_flow const& flow, std::string packet,
                       std::uint32_t expected, endpoint except);
-    void ask_agents(time_point now, packet_flow const& flow, search& open);
-    void widen_search(time_point now, packet_flow const& flow, search& open);
-    [[nodiscard]] std::vector<endpoint> next_to_ask(packet_flow const& flow,
-                                                    search const& open) const;
-    [[nodiscard]] std::vector<endpoint>
-    first_of_service(packet_flow const& flow, search const& open, std::string const& service) const;
     void on_not_held(time_point now, endpoint agent, flow_notice const& notice);
+    void take_search_output(time_point now);
+    void on_search_end(time_point now, search_end& end);
     void deliver(time_point now, packet_flow const& flow, hint& known, std::string packet);
     void note(router_event event, packet_flow const& flow, endpoint agent = {});
     void sweep_hints(time_point now);
@@ -179,7 +141,7 @@
     rank(time_point now, std::string const& service, packet_flow const& flow) const;
     [[nodiscard]] std::vector<std::string> const& services_of(packet_flow const& flow) const;
     [[nodiscard]] bool suspected(time_point now, endpoint agent) const;
-    router_output finish();
+    router_output finish(time_point now);
 
     packet_router_options options_;
     router_view view_;
@@ -187,10 +149,11 @@
     // Services that each address had before; open flows stay where they are.
     std::map<endpoint, std::vector<std::string>> earlier_services_;
     absl::flat_hash_map<packet_flow, hint> hints_;       // at most max_hints
-    absl::flat_hash_map<packet_flow, opening> openings_; // at most max_searches
-    absl::flat_hash_map<packet_flow, search> searches_;  // at most max_searches
-    std::map<endpoint, time_point> suspected_;           // until when
-    std::map<endpoint, known_agent> agents_;             // in the view, or remembered
+    absl::flat_hash_map<packet_flow, opening> openings_; // at most max_openings
+    // No opening has an earlier deadline; it may be earlier than all of them.
+    time_point earliest_opening_ = time_point::max();
+    flow_search search_;
+    std::map<endpoint, time_point> suspected_; // until when
     std::deque<early_packet> early_; // oldest first; empty once a configuration is in force
     time_point next_sweep_{};
     router_output output_;
--- a/programs/packet_agent.cpp
+++ b/programs/packet_agent.cpp
@@ -1,5 +1,6 @@
 #include "programs/packet_agent.h"
 
+#include <array>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -158,6 +159,10 @@
 
     void on_carried_bytes(time_point now, datagram const& in) {
         auto message = decode_carried_message(in.bytes);
+        if (auto const* query = message.ok() ? std::get_if<flow_query>(&*message) : nullptr) {
+            carry_out(flows_.on_query(now, *query));
+            return;
+        }
         auto* packet = message.ok() ? std::get_if<carried_packet>(&*message) : nullptr;
         if (packet == nullptr) {
             refuse_malformed("carrier", message.status());
@@ -257,6 +262,19 @@
     void perform(notify_balancer& out) {
         send(carrier_, {out.balancer, {}, encode_carried_message(out.notice)});
     }
+    void perform(answer_balancer& out) {
+        std::array<std::size_t, 3> counts{};
+        for (flow_state const state : out.answer.states)
+            ++counts[static_cast<std::size_t>(state)];
+        auto const [denied, held, unsure] = counts;
+        context_.counters.count("flows_queried", static_cast<double>(out.answer.states.size()));
+        context_.events->info(event_line("flow_query")
+                                  .add("balancer", to_string(out.balancer))
+                                  .add("denied", denied)
+                                  .add("held", held)
+                                  .add("unsure", unsure));
+        send(carrier_, {out.balancer, {}, encode_carried_message(out.answer)});
+    }
     void perform(reset_flow const& out) {
         send(upstream_, {{out.flow.caller.address, own_.caller_port},
                          {},
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -126,6 +126,7 @@
             context_.events->info(
                 event_line("ready").add("configuration", news.state->routes()->number));
         }
+        router_.heard_control(news.heard);
         if (state_ == news.state)
             return;
         if (!state_ || state_->routes()->number != news.state->routes()->number)
@@ -155,6 +156,10 @@
 
     void on_carrier_bytes(time_point now, datagram const& in) {
         auto const message = decode_carried_message(in.bytes);
+        if (auto const* answer = message.ok() ? std::get_if<flow_answer>(&*message) : nullptr) {
+            carry_out(router_.on_answer(now, in.peer, *answer));
+            return;
+        }
         auto const* notice = message.ok() ? std::get_if<flow_notice>(&*message) : nullptr;
         if (notice == nullptr) {
             refuse_malformed("carrier", message.status());
@@ -183,6 +188,9 @@
     void perform(carry_to_agent& out) {
         send(carrier_, {out.agent, {}, encode_carried_message(out.message)});
     }
+    void perform(query_agent const& out) {
+        send(carrier_, {out.agent, {}, encode_carried_message(out.message)});
+    }
     void perform(refuse_flow const& out) {
         send(callers_, {{out.flow.caller.address, own_.callers.port},
                         {},
--- a/src/connection/carried_codec.cpp
+++ b/src/connection/carried_codec.cpp
@@ -11,6 +11,10 @@
     return value <= flow_report::other_service;
 }
 
+inline bool is_valid(flow_state value) {
+    return value <= flow_state::unsure;
+}
+
 template <typename Archive>
 auto fields(Archive& archive, packet_flow& value) {
     return detail::list_fields(archive, value.caller, value.route);
@@ -31,6 +35,15 @@
                                value.packet);
 }
 
+template <typename Archive>
+auto fields(Archive& archive, flow_query& value) {
+    return detail::list_fields(archive, value.number, value.origin, value.flows);
+}
+template <typename Archive>
+auto fields(Archive& archive, flow_answer& value) {
+    return detail::list_fields(archive, value.number, value.states);
+}
+
 std::string encode_carried_message(carried_message const& message) {
     return detail::encode(message);
 }
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -4,32 +4,12 @@
 #include <tuple>
 #include <utility>
 
-#include <xxhash.h>
-
 namespace toucanusher {
 
 namespace {
 
 constexpr duration sweep_interval = std::chrono::seconds{5};
 
-struct hashed_flow {
-    std::uint32_t caller = 0;
-    std::uint32_t route = 0;
-    std::uint16_t caller_port = 0;
-    std::uint16_t route_port = 0;
-};
-
-std::uint64_t hash_flow(packet_flow const& flow, std::uint64_t seed) {
-    hashed_flow const key{flow.caller.address, flow.route.address, flow.caller.port,
-                          flow.route.port};
-    static_assert(sizeof key == 12, "a key must have no padding");
-    return XXH3_64bits_withSeed(&key, sizeof key, seed);
-}
-
-std::uint64_t hash_name(std::string const& name) {
-    return XXH3_64bits(name.data(), name.size());
-}
-
 // Keeps the services that an address had, oldest first.
 void remember(std::map<endpoint, std::vector<std::string>>& earlier, route const& item) {
     constexpr std::size_t most = 8;
@@ -45,10 +25,11 @@
     return std::find(agents.begin(), agents.end(), agent) != agents.end();
 }
 
-// The next step of a search; the last one stays.
-template <typename Reach>
-Reach wider(Reach reach) {
-    return reach == Reach::everywhere ? reach : static_cast<Reach>(static_cast<int>(reach) + 1);
+flow_search_options search_options(packet_router_options const& options) {
+    flow_search_options search;
+    search.self = options.self;
+    search.candidates = options.offers;
+    return search;
 }
 
 } // namespace
@@ -77,6 +58,8 @@
         return "not_found";
     case router_event::flow_is_over:
         return "flow_is_over";
+    case router_event::old_view:
+        return "old_view";
     case router_event::overflow:
         return "overflow";
     }
@@ -85,7 +68,7 @@
 
 packet_router::packet_router(packet_router_options options, time_point now)
     : options_(std::move(options)), view_{std::make_shared<configuration const>(), {}},
-      index_(*view_.routes), next_sweep_(now + sweep_interval) {}
+      index_(*view_.routes), search_(search_options(options_)), next_sweep_(now + sweep_interval) {}
 
 router_output packet_router::set_view(time_point now, router_view view) {
     if (view.routes != view_.routes) {
@@ -99,20 +82,13 @@
         earlier_services_ = std::move(kept);
         index_ = route_index(*view.routes);
     }
-    for (auto& [agent, known] : agents_)
-        known.left = known.left ? known.left : std::optional{now};
-    for (auto const& [service, choices] : view.upstreams)
-        for (upstream_choice const& choice : choices)
-            agents_[choice.agent] = {service, hash_name(choice.name), std::nullopt};
-    std::erase_if(agents_, [&](auto const& item) {
-        return item.second.left && now - *item.second.left > options_.remember_upstreams;
-    });
+    search_.set_upstreams(now, view.upstreams);
     view_ = std::move(view);
     if (view_.routes->number > 0)
         for (early_packet& kept : std::exchange(early_, {}))
             if (now - kept.came <= options_.early_patience)
                 route_packet(now, kept.head, std::move(kept.packet));
-    return finish();
+    return finish(now);
 }
 
 router_output packet_router::on_packet(time_point now, packet_head const& head,
@@ -121,7 +97,7 @@
         keep_early(now, head, std::move(packet));
     else
         route_packet(now, head, std::move(packet));
-    return finish();
+    return finish(now);
 }
 
 void packet_router::keep_early(time_point now, packet_head const& head, std::string packet) {
@@ -145,11 +121,9 @@
         open_flow(now, head, std::move(packet));
     else if (head.resets)
         return; // whoever holds the flow forgets it when it is idle
-    else if (auto const search = searches_.find(head.flow); search == searches_.end())
+    else if (!search_.searches(head.flow))
         start_search(now, head.flow, std::move(packet), head.acknowledged, {});
-    else if (search->second.parked.size() < options_.max_parked_packets)
-        search->second.parked.push_back(std::move(packet));
-    else
+    else if (!search_.park(now, head.flow, std::move(packet)))
         note(router_event::overflow, head.flow);
 }
 
@@ -164,32 +138,26 @@
         hint& known = hints_[flow];
         known.agent = agent;
         known.used = now;
-        if (auto const at = agents_.find(agent); at != agents_.end())
-            known.service = at->second.service;
+        if (std::string service = search_.service_of(agent); !service.empty())
+            known.service = std::move(service);
         note(router_event::found, flow, agent);
         output_.notes.back().took = took;
-        if (auto const waiting = searches_.find(flow); waiting != searches_.end()) {
-            // The first packet was delivered by the agent that found the flow.
-            std::vector<std::string> parked = std::move(waiting->second.parked);
-            searches_.erase(waiting);
-            for (std::size_t i = 1; i < parked.size(); ++i)
-                deliver(now, flow, known, std::move(parked[i]));
-        }
-        return finish();
+        search_.on_held(agent, flow);
+        return finish(now);
     }
     if (notice.report == flow_report::nobody_takes) {
         auto const open = openings_.find(flow);
         if (open == openings_.end())
-            return finish();
+            return finish(now);
         note(router_event::nobody_takes, flow, agent);
         // A copy may have found a place meanwhile, so only the first packet is refused aloud.
         if (open->second.copies == 0)
             output_.actions.emplace_back(refuse_flow{flow});
         openings_.erase(open);
-        return finish();
+        return finish(now);
     }
     on_not_held(now, agent, notice);
-    return finish();
+    return finish(now);
 }
 
 void packet_router::on_not_held(time_point now, endpoint agent, flow_notice const& notice) {
@@ -197,72 +165,40 @@
     auto const known = hints_.find(flow);
     if (known != hints_.end() && known->second.agent == agent)
         hints_.erase(known);
-    auto const open = searches_.find(flow);
-    if (open == searches_.end()) {
-        if (!notice.packet.empty() && !hints_.contains(flow))
-            start_search(now, flow, notice.packet, notice.caller_expects, agent);
-        return;
-    }
-    search& asking = open->second;
-    std::erase(asking.unanswered, agent);
-    std::erase(asking.awaited, agent);
-    if (asking.awaited.empty() && asking.reach != search_reach::everywhere)
-        widen_search(now, flow, asking);
-    if (asking.reach != search_reach::everywhere || !asking.unanswered.empty())
-        return;
-    // Nobody that could hold it does: the caller need not wait for its deadline.
-    note(router_event::flow_is_over, flow);
-    output_.actions.emplace_back(refuse_flow{flow, asking.expected});
-    searches_.erase(open);
+    if (search_.searches(flow))
+        search_.on_denied(now, agent, flow);
+    else if (!notice.packet.empty() && !hints_.contains(flow))
+        start_search(now, flow, notice.packet, notice.caller_expects, agent);
+}
+
+router_output packet_router::on_answer(time_point now, endpoint agent, flow_answer const& answer) {
+    suspected_.erase(agent);
+    search_.on_answer(now, agent, answer);
+    return finish(now);
 }
 
 router_output packet_router::on_tick(time_point now) {
-    std::vector<packet_flow> late;
-    for (auto const& [flow, open] : openings_)
-        if (now >= open.deadline)
-            late.push_back(flow);
-    for (packet_flow const& flow : late) {
-        opening& open = openings_[flow];
-        if (!open.asked.empty())
-            suspected_[open.asked.back()] = now + options_.suspicion;
-        if (open.attempts >= options_.max_open_attempts) {
-            note(router_event::not_found, flow,
-                 open.asked.empty() ? endpoint{} : open.asked.back());
-            openings_.erase(flow);
-            continue;
-        }
-        place(now, flow, open);
-    }
-    for (auto at = searches_.begin(); at != searches_.end();) {
-        auto const open = at++;
-        if (now < open->second.deadline)
-            continue;
-        if (open->second.reach != search_reach::everywhere) {
-            widen_search(now, open->first, open->second);
-            continue;
-        }
-        note(router_event::not_found, open->first,
-             open->second.unanswered.empty() ? endpoint{} : open->second.unanswered.front());
-        searches_.erase(open);
-    }
+    if (now >= earliest_opening_)
+        place_late_ones(now);
+    search_.on_tick(now);
     if (now >= next_sweep_)
         sweep_hints(now);
-    return finish();
+    return finish(now);
 }
 
 std::optional<time_point> packet_router::next_due() const {
     std::optional<time_point> due;
     if (!hints_.empty())
         due = next_sweep_;
-    for (auto const& [flow, open] : openings_)
-        due = std::min(due.value_or(open.deadline), open.deadline);
-    for (auto const& [flow, search] : searches_)
-        due = std::min(due.value_or(search.deadline), search.deadline);
+    if (!openings_.empty())
+        due = std::min(due.value_or(earliest_opening_), earliest_opening_);
+    if (auto const search = search_.next_due())
+        due = std::min(due.value_or(*search), *search);
     return due;
 }
 
 void packet_router::open_flow(time_point now, packet_head const& head, std::string packet) {
-    if (openings_.size() >= options_.max_searches) {
+    if (openings_.size() >= options_.max_openings) {
         note(router_event::overflow, head.flow);
         return;
     }
@@ -294,6 +230,7 @@
             candidates.push_back(choice->agent);
     ++open.attempts;
     open.deadline = now + options_.open_patience;
+    earliest_opening_ = std::min(earliest_opening_, open.deadline);
     if (candidates.empty()) {
         note(router_event::no_upstream, flow);
         open.attempts = options_.max_open_attempts;
@@ -316,81 +253,67 @@
                                                  .packet = open.packet}});
 }
 
-void packet_router::start_search(time_point now, packet_flow const& flow, std::string packet,
-                                 std::uint32_t expected, endpoint except) {
-    if (searches_.size() >= options_.max_searches) {
-        note(router_event::overflow, flow);
-        return;
+// Tries others for the opening packets that nobody took in time.
+void packet_router::place_late_ones(time_point now) {
+    std::vector<packet_flow> late;
+    for (auto const& [flow, open] : openings_)
+        if (now >= open.deadline)
+            late.push_back(flow);
+    for (packet_flow const& flow : late) {
+        opening& open = openings_[flow];
+        if (!open.asked.empty())
+            suspected_[open.asked.back()] = now + options_.suspicion;
+        if (open.attempts >= options_.max_open_attempts) {
+            note(router_event::not_found, flow,
+                 open.asked.empty() ? endpoint{} : open.asked.back());
+            openings_.erase(flow);
+            continue;
+        }
+        place(now, flow, open);
     }
-    note(router_event::searching, flow);
-    search& open = searches_[flow];
-    open.parked.push_back(std::move(packet));
-    open.expected = expected;
-    open.asked.push_back(except);
-    ask_agents(now, flow, open);
+    earliest_opening_ = time_point::max();
+    for (auto const& [flow, open] : openings_)
+        earliest_opening_ = std::min(earliest_opening_, open.deadline);
 }
 
-// Asks the agents of the present step, or of the next one that has any.
-void packet_router::ask_agents(time_point now, packet_flow const& flow, search& open) {
-    open.deadline = now + options_.search_patience;
-    for (;;) {
-        open.awaited = next_to_ask(flow, open);
-        if (!open.awaited.empty() || open.reach == search_reach::everywhere)
-            break;
-        open.reach = wider(open.reach);
-    }
-    for (endpoint const agent : open.awaited) {
-        open.asked.push_back(agent);
-        open.unanswered.push_back(agent);
-        output_.actions.emplace_back(carry_to_agent{agent,
-                                                    {.purpose = carry_purpose::search,
-                                                     .service = agents_.at(agent).service,
-                                                     .origin = options_.self,
-                                                     .candidates = {},
-                                                     .best = {},
-                                                     .packet = open.parked.front()}});
-    }
+void packet_router::start_search(time_point now, packet_flow const& flow, std::string packet,
+                                 std::uint32_t expected, endpoint except) {
+    bool const begun =
+        search_.begin(now, flow, services_of(flow), std::move(packet), expected, except);
+    note(begun ? router_event::searching : router_event::overflow, flow);
 }
 
-void packet_router::widen_search(time_point now, packet_flow const& flow, search& open) {
-    open.reach = wider(open.reach);
-    ask_agents(now, flow, open);
+void packet_router::take_search_output(time_point now) {
+    search_output found = search_.take_output();
+    for (carry_to_agent& out : found.packets)
+        output_.actions.emplace_back(std::move(out));
+    for (query_agent& out : found.queries)
+        output_.actions.emplace_back(std::move(out));
+    for (search_end& end : found.ended)
+        on_search_end(now, end);
 }
 
-std::vector<endpoint> packet_router::next_to_ask(packet_flow const& flow,
-                                                 search const& open) const {
-    std::vector<endpoint> next;
-    // An earlier configuration may have sent the flow to a service that its route no longer names.
-    if (open.reach == search_reach::everywhere) {
-        for (auto const& [agent, known] : agents_)
-            if (!contains(open.asked, agent))
-                next.push_back(agent);
-        return next;
+void packet_router::on_search_end(time_point now, search_end& end) {
+    switch (end.what) {
+    case search_end::outcome::found: {
+        hint& known = hints_[end.flow];
+        known = {end.agent, search_.service_of(end.agent), now};
+        for (std::string& packet : end.parked)
+            deliver(now, end.flow, known, std::move(packet));
+        break;
+    }
+    case search_end::outcome::over:
+        // Nobody that could hold it does: the caller need not wait for its deadline.
+        note(router_event::flow_is_over, end.flow);
+        output_.actions.emplace_back(refuse_flow{end.flow, end.expected});
+        break;
+    case search_end::outcome::not_found:
+        note(router_event::not_found, end.flow, end.agent);
+        break;
+    case search_end::outcome::old_view:
+        note(router_event::old_view, end.flow);
+        break;
     }
-    for (std::string const& service : services_of(flow))
-        for (endpoint const agent : first_of_service(flow, open, service))
-            next.push_back(agent);
-    return next;
-}
-
-// Agents of a service that were not asked, those that the flow would be offered to first.
-std::vector<endpoint> packet_router::first_of_service(packet_flow const& flow, search const& open,
-                                                      std::string const& service) const {
-    std::vector<std::pair<std::uint64_t, endpoint>> ordered;
-    for (auto const& [agent, known] : agents_)
-        if (known.service == service && !contains(open.asked, agent))
-            ordered.emplace_back(hash_flow(flow, known.seed), agent);
-    std::sort(ordered.begin(), ordered.end());
-    std::size_t most = ordered.size();
-    if (open.reach == search_reach::candidates)
-        most = options_.search_first;
-    else if (open.reach == search_reach::neighbours)
-        most = options_.search_next;
-    ordered.resize(std::min(most, ordered.size()));
-    std::vector<endpoint> agents;
-    for (auto const& [order, agent] : ordered)
-        agents.push_back(agent);
-    return agents;
 }
 
 void packet_router::deliver(time_point now, packet_flow const& flow, hint& known,
@@ -424,7 +347,7 @@
         total += part.weight;
     if (total == 0)
         return {};
-    std::uint64_t draw = hash_flow(flow, 0) % total;
+    std::uint64_t draw = place_in_order(flow, 0) % total;
     for (weighted_service const& part : item.split) {
         if (draw < part.weight)
             return part.service;
@@ -447,8 +370,8 @@
     std::vector<ranked> all;
     for (upstream_choice const& choice : choices->second)
         if (!choice.draining)
-            all.push_back(
-                {suspected(now, choice.agent), hash_flow(flow, hash_name(choice.name)), &choice});
+            all.push_back({suspected(now, choice.agent), place_in_order(flow, seed_of(choice.name)),
+                           &choice});
     std::sort(all.begin(), all.end(), [](ranked const& left, ranked const& right) {
         return std::tie(left.avoided, left.order) < std::tie(right.avoided, right.order);
     });
@@ -469,7 +392,8 @@
     return found != suspected_.end() && now < found->second;
 }
 
-router_output packet_router::finish() {
+router_output packet_router::finish(time_point now) {
+    take_search_output(now);
     return std::exchange(output_, {});
 }
 
--- a/src/connection/upstream_flows.cpp
+++ b/src/connection/upstream_flows.cpp
@@ -85,6 +85,14 @@
     return finish();
 }
 
+agent_output upstream_flows::on_query(time_point now, flow_query const& query) {
+    flow_answer answer{query.number, {}};
+    for (packet_flow const& key : query.flows)
+        answer.states.push_back(state_of(now, key));
+    output_.actions.emplace_back(answer_balancer{query.origin, std::move(answer)});
+    return finish();
+}
+
 agent_output upstream_flows::on_upstream_packet(time_point now, packet_head const& head,
                                                 std::string packet) {
     unresponsive_since_.reset();
@@ -415,6 +423,15 @@
     return now - started_ < options_.flow_lifetime;
 }
 
+flow_state upstream_flows::state_of(time_point now, packet_flow const& key) const {
+    auto const at = flows_.find(key);
+    if (at == flows_.end())
+        return may_be_incomplete(now) ? flow_state::unsure : flow_state::denied;
+    bool const certain =
+        at->second.phase == flow_phase::open || at->second.phase == flow_phase::closed;
+    return certain ? flow_state::held : flow_state::unsure;
+}
+
 agent_output upstream_flows::finish() {
     return std::exchange(output_, {});
 }
--- /dev/null
+++ b/tests/flow_search_test.cpp
@@ -0,0 +1,253 @@
+// How a balancer finds flows that it does not know: whom it asks, at which cost, and when it is
+// certain that a flow is over.
+#include "toucanusher/connection/flow_search.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+#include <doctest/doctest.h>
+
+namespace toucanusher {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr time_point start{std::chrono::hours{1}};
+constexpr endpoint route_address{200, 443};
+
+packet_flow flow_of(std::uint16_t port) {
+    return {{1, port}, route_address};
+}
+
+upstreams_by_service make_upstreams(std::uint32_t count) {
+    upstreams_by_service made;
+    for (std::uint32_t i = 0; i < count; ++i)
+        made["batch"].push_back({"u" + std::to_string(i), {100 + i, 1}, "a", i % 7 == 0});
+    made["artwork"].push_back({"art", {99, 1}, "a", false});
+    return made;
+}
+
+// A fleet whose agents answer a message after a millisecond.
+class fleet {
+  public:
+    using holder_hook = std::function<std::optional<flow_state>(endpoint, packet_flow const&)>;
+
+    // `state` says what an agent answers; nothing: it is silent.
+    fleet(std::uint32_t upstreams, holder_hook state)
+        : state_(std::move(state)), search(flow_search_options{.self = {5, 5}}) {
+        search.heard_control(start);
+        search.set_upstreams(start, make_upstreams(upstreams));
+    }
+
+    void begin(std::uint16_t port) {
+        CHECK(search.begin(now, flow_of(port), {"batch"}, "data", 900, {}));
+    }
+
+    void run_for(duration span) {
+        for (time_point const end = now + span; now < end; now += milliseconds{1}) {
+            search.on_tick(now);
+            search_output out = search.take_output();
+            packets += out.packets.size();
+            queries += out.queries.size();
+            for (search_end& item : out.ended)
+                ended.push_back(std::move(item));
+            for (carry_to_agent const& packet : out.packets)
+                answer_packet(packet);
+            for (query_agent const& query : out.queries)
+                answer_query(query);
+        }
+    }
+
+    [[nodiscard]] std::size_t count(search_end::outcome what) const {
+        std::size_t found = 0;
+        for (search_end const& item : ended)
+            found += item.what == what ? 1 : 0;
+        return found;
+    }
+
+  private:
+    // Which flow a packet belongs to is not needed where all flows share a fate.
+    void answer_packet(carry_to_agent const& packet) {
+        auto const state = state_(packet.agent, {});
+        for (std::uint16_t port = 1; port <= 400; ++port)
+            if (state == flow_state::denied && search.searches(flow_of(port)))
+                search.on_denied(now, packet.agent, flow_of(port));
+    }
+    void answer_query(query_agent const& query) {
+        flow_answer answer{query.message.number, {}};
+        for (packet_flow const& flow : query.message.flows) {
+            auto const state = state_(query.agent, flow);
+            if (!state)
+                return;
+            answer.states.push_back(*state);
+        }
+        search.on_answer(now, query.agent, answer);
+    }
+
+    holder_hook state_;
+
+  public:
+    flow_search search;
+    time_point now = start;
+    std::size_t packets = 0;
+    std::size_t queries = 0;
+    std::vector<search_end> ended;
+};
+
+fleet::holder_hook everyone(std::optional<flow_state> state) {
+    return [state](endpoint, packet_flow const&) { return state; };
+}
+
+} // namespace
+
+// Load pattern: a balancer restarts beside many upstreams, and each flow that comes to another
+// balancer is searched, over one thin link.
+TEST_CASE("the first candidates of a flow are asked first, however many upstreams there are") {
+    for (std::uint32_t const upstreams : {7U, 50U, 500U}) {
+        fleet all(upstreams, everyone(std::nullopt));
+        for (std::uint16_t port = 1; port <= 100; ++port)
+            all.begin(port);
+        all.run_for(milliseconds{2});
+        CHECK(all.packets == 200);
+        CHECK(all.queries == 0);
+    }
+}
+
+TEST_CASE("the candidates are those that the flow was offered to") {
+    fleet all(50, everyone(std::nullopt));
+    packet_flow const flow = flow_of(7);
+    std::vector<std::pair<std::uint64_t, endpoint>> order;
+    upstreams_by_service const upstreams = make_upstreams(50);
+    for (upstream_choice const& choice : upstreams.at("batch"))
+        order.emplace_back(place_in_order(flow, seed_of(choice.name)), choice.agent);
+    std::sort(order.begin(), order.end());
+    all.begin(7);
+    search_output const out = all.search.take_output();
+    REQUIRE(out.packets.size() == 2);
+    CHECK(out.packets[0].agent == order[0].second);
+    CHECK(out.packets[1].agent == order[1].second);
+}
+
+// Load pattern: a loss of power ended every upstream's life at once; the callers of 200 flows come
+// back to one balancer in the same moment.
+TEST_CASE("the end of many flows costs each agent a few messages") {
+    fleet all(50, everyone(flow_state::denied));
+    for (std::uint16_t port = 1; port <= 200; ++port)
+        all.begin(port);
+    all.run_for(milliseconds{100});
+    CHECK(all.count(search_end::outcome::over) == 200);
+    CHECK(all.ended.size() == 200);
+    CHECK(all.packets == 400);
+    CHECK(all.queries <= 51 * 4); // 200 flows, 60 in a message
+    CHECK(all.ended.front().expected == 900);
+}
+
+// Load pattern: after a loss of power each caller of 400 flows comes back within two seconds, with
+// repeats, and one agent of 50 is gone for good. A query of one flow to everybody takes 8 KB.
+TEST_CASE("searches keep to their share of a thin link, and end what they can") {
+    constexpr endpoint gone{120, 1};
+    fleet all(50, [&](endpoint agent, packet_flow const&) -> std::optional<flow_state> {
+        return agent == gone ? std::nullopt : std::optional{flow_state::denied};
+    });
+    for (std::uint16_t port = 1; port <= 400; ++port) {
+        if (all.search.searches(flow_of(port)))
+            continue;
+        all.begin(port);
+        all.run_for(milliseconds{5});
+        if (port > 40) // a repeat
+            (void)all.search.park(all.now, flow_of(static_cast<std::uint16_t>(port - 40)), "data");
+    }
+    double const taken = std::chrono::duration<double>(all.now - start).count();
+    flow_search_options const limits;
+    double const bytes = static_cast<double>(all.queries * limits.bytes_per_query);
+    CHECK(bytes <= static_cast<double>(limits.bytes_per_second) * taken);
+    all.run_for(seconds{3});
+    CHECK(all.count(search_end::outcome::not_found) == 400);
+    CHECK(all.ended.size() == 400);
+}
+
+TEST_CASE("an agent that answers late is asked again, one that stays silent leaves a doubt") {
+    constexpr endpoint silent{99, 1}; // in the last step
+    int asked = 0;
+    fleet all(7, [&](endpoint agent, packet_flow const&) -> std::optional<flow_state> {
+        if (agent == silent && ++asked < 3)
+            return std::nullopt;
+        return flow_state::denied;
+    });
+    all.begin(1);
+    all.run_for(milliseconds{400});
+    CHECK(asked == 2);
+    CHECK(all.ended.empty());
+    // The caller repeats its packet: only the silent one is asked.
+    std::size_t const queries_before = all.queries;
+    CHECK(all.search.park(all.now, flow_of(1), "data"));
+    all.run_for(milliseconds{50});
+    CHECK(asked == 3);
+    CHECK(all.queries == queries_before + 1);
+    CHECK(all.count(search_end::outcome::over) == 1);
+    fleet doubtful(7, [&](endpoint agent, packet_flow const&) -> std::optional<flow_state> {
+        return agent == silent ? std::nullopt : std::optional{flow_state::denied};
+    });
+    doubtful.begin(1);
+    doubtful.run_for(seconds{3});
+    REQUIRE(doubtful.ended.size() == 1);
+    CHECK(doubtful.ended[0].what == search_end::outcome::not_found);
+    CHECK(doubtful.ended[0].agent == silent);
+}
+
+TEST_CASE("an agent that is not sure gets the packet, so that its upstream can tell") {
+    fleet all(7, [](endpoint agent, packet_flow const& flow) -> std::optional<flow_state> {
+        if (agent.address == 99)
+            return flow.caller.port == 0 ? std::nullopt : std::optional{flow_state::unsure};
+        return flow_state::denied;
+    });
+    all.begin(1);
+    all.run_for(milliseconds{20});
+    CHECK(all.packets == 3);
+    CHECK(all.ended.empty());
+    all.search.on_held({99, 1}, flow_of(1));
+    all.run_for(milliseconds{2});
+    REQUIRE(all.ended.size() == 1);
+    CHECK(all.ended[0].what == search_end::outcome::found);
+    CHECK(all.ended[0].parked.empty());
+}
+
+TEST_CASE("nobody is told that a flow is over by a balancer that may be behind") {
+    fleet all(7, everyone(flow_state::denied));
+    all.now = start + seconds{2}; // since a control host was heard
+    all.begin(1);
+    all.run_for(milliseconds{100});
+    REQUIRE(all.ended.size() == 1);
+    CHECK(all.ended[0].what == search_end::outcome::old_view);
+}
+
+TEST_CASE("nobody is told that a flow is over where not everybody may be asked") {
+    fleet all(1500, everyone(flow_state::denied));
+    all.begin(1);
+    all.run_for(seconds{3});
+    REQUIRE(all.ended.size() == 1);
+    CHECK(all.ended[0].what == search_end::outcome::not_found);
+    CHECK(all.packets + all.queries <= 1024);
+}
+
+TEST_CASE("answers of strangers, to old queries or of the wrong length change nothing") {
+    fleet all(2, everyone(std::nullopt));
+    all.begin(1);
+    all.run_for(milliseconds{2});
+    for (std::uint32_t i = 0; i < 2; ++i)
+        all.search.on_denied(all.now, {100 + i, 1}, flow_of(1));
+    all.search.on_tick(all.now + milliseconds{5});
+    search_output const out = all.search.take_output();
+    REQUIRE(out.queries.size() == 1);
+    std::uint32_t const number = out.queries[0].message.number;
+    all.search.on_answer(all.now, {100, 1}, {number, {flow_state::denied}});
+    all.search.on_answer(all.now, out.queries[0].agent, {number, {}});
+    all.search.on_answer(all.now, out.queries[0].agent, {number + 9, {flow_state::denied}});
+    CHECK(all.search.take_output().ended.empty());
+    all.search.on_answer(all.now, out.queries[0].agent, {number, {flow_state::denied}});
+    CHECK(all.search.take_output().ended.size() == 1);
+}
+
+} // namespace toucanusher
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -52,6 +52,7 @@
     packet_router_options options;
     options.self = {5, 5};
     packet_router router(options, start);
+    router.heard_control(start);
     (void)router.set_view(start, make_view(make_routes(1, std::move(split))));
     return router;
 }
@@ -72,13 +73,33 @@
     return found;
 }
 
+std::vector<query_agent> queries(router_output const& output) {
+    std::vector<query_agent> found;
+    for (router_action const& action : output.actions)
+        if (auto const* body = std::get_if<query_agent>(&action))
+            found.push_back(*body);
+    return found;
+}
+
+// Agents that are asked for a flow, with its packet or without.
 std::set<endpoint> agents_of(router_output const& output) {
     std::set<endpoint> agents;
     for (carry_to_agent const& out : carried(output))
         agents.insert(out.agent);
+    for (query_agent const& out : queries(output))
+        agents.insert(out.agent);
     return agents;
 }
 
+// What is asked once the flows that came in the meantime have been put together.
+router_output after_window(packet_router& router, time_point now) {
+    return router.on_tick(now + milliseconds{5});
+}
+
+flow_answer answer_to(query_agent const& query, flow_state state) {
+    return {query.message.number, std::vector(query.message.flows.size(), state)};
+}
+
 flow_notice notice_of(flow_report report, packet_flow const& flow = flow_a) {
     return {report, flow, 900, {}};
 }
@@ -116,14 +137,30 @@
     packet_router router = make_router();
     auto const near = router.on_packet(start, head_of(flow_a, false), "data");
     CHECK(agents_of(near) == std::set<endpoint>{first_agent, second_agent});
-    auto const wide = router.on_tick(start + milliseconds{50});
-    CHECK(agents_of(wide) == std::set<endpoint>{art_agent});
-    (void)router.on_packet(start + milliseconds{51}, head_of(flow_a, false), "more");
+    time_point const later = start + milliseconds{50};
+    (void)router.on_tick(later);
+    auto const wide = queries(after_window(router, later));
+    REQUIRE(wide.size() == 1);
+    CHECK(wide[0].agent == art_agent);
+    CHECK(wide[0].message.flows == std::vector{flow_a});
+    (void)router.on_packet(later + milliseconds{6}, head_of(flow_a, false), "more");
     auto const found = carried(
-        router.on_notice(start + milliseconds{52}, art_agent, notice_of(flow_report::held)));
-    REQUIRE(found.size() == 1); // the parked one; the first was delivered by the agent
+        router.on_answer(later + milliseconds{7}, art_agent, answer_to(wide[0], flow_state::held)));
+    REQUIRE(found.size() == 2); // nothing was delivered yet
+    CHECK(found[0].message.packet == "data");
+    CHECK(found[1].message.packet == "more");
+    CHECK(found[1].message.service == "artwork");
+    CHECK(found[1].message.purpose == carry_purpose::deliver);
+}
+
+TEST_CASE("a candidate that holds the flow has delivered the first packet; the others follow") {
+    packet_router router = make_router();
+    (void)router.on_packet(start, head_of(flow_a, false), "data");
+    (void)router.on_packet(start, head_of(flow_a, false), "more");
+    auto const found = carried(router.on_notice(start, second_agent, notice_of(flow_report::held)));
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].agent == second_agent);
     CHECK(found[0].message.packet == "more");
-    CHECK(found[0].message.service == "artwork");
 }
 
 // Replays a change of the configuration in the middle of a search (hunt-9581-43): the route gains
@@ -133,79 +170,31 @@
     (void)router.on_packet(start, head_of(flow_a, false), "data");
     (void)router.set_view(start, make_view(make_routes(2, {{"batch", 1}, {"artwork", 1}})));
     (void)router.on_notice(start, first_agent, notice_of(flow_report::not_held));
-    auto const wide = router.on_notice(start, second_agent, notice_of(flow_report::not_held));
+    CHECK(refused(router.on_notice(start, second_agent, notice_of(flow_report::not_held))).empty());
+    auto const wide = after_window(router, start);
     CHECK(refused(wide).empty());
-    CHECK(agents_of(wide) == std::set<endpoint>{art_agent});
-    CHECK(carried(router.on_notice(start, art_agent, notice_of(flow_report::held))).empty());
+    REQUIRE(queries(wide).size() == 1);
+    CHECK(queries(wide)[0].agent == art_agent);
+    (void)router.on_answer(start, art_agent, answer_to(queries(wide)[0], flow_state::held));
     CHECK(carried(router.on_packet(start, head_of(flow_a, false), "more"))[0].agent == art_agent);
 }
 
-// Replays the restart of a balancer beside many upstreams: each flow that comes to another balancer
-// is searched, and the searches share one thin link.
-TEST_CASE("finding a flow costs as much with many upstreams as with few") {
-    constexpr std::uint32_t upstreams = 50;
-    packet_router router = make_router();
-    router_view view = make_view(make_routes(1, {{"batch", 1}}));
-    view.upstreams["batch"].clear();
-    for (std::uint32_t i = 0; i < upstreams; ++i)
-        view.upstreams["batch"].push_back({"u" + std::to_string(i), {100 + i, 1}, "a", i % 7 == 0});
-    (void)router.set_view(start, view);
-    for (std::uint16_t port = 1; port <= 100; ++port) {
-        packet_flow const flow{{1, port}, route_address};
-        auto const placed = carried(router.on_packet(start, head_of(flow, true), "opening"));
-        REQUIRE(placed.size() == 1);
-        endpoint const second = placed[0].message.candidates.front();
-        packet_router other = make_router();
-        (void)other.set_view(start, view);
-        auto const asked = agents_of(other.on_packet(start, head_of(flow, false), "data"));
-        CHECK(asked.size() <= 4); // of what is left of the first view as well
-        bool const draining_first = !asked.contains(placed[0].agent) || !asked.contains(second);
-        auto const next = agents_of(other.on_tick(start + milliseconds{50}));
-        CHECK(next.size() <= 8);
-        if (draining_first)
-            CHECK((next.contains(placed[0].agent) || next.contains(second)));
-    }
-}
-
-TEST_CASE("a search among many upstreams ends only when all of them were asked") {
-    constexpr std::uint32_t upstreams = 50;
-    packet_router router = make_router();
-    router_view view = make_view(make_routes(1, {{"batch", 1}}));
-    for (std::uint32_t i = 0; i < upstreams; ++i)
-        view.upstreams["batch"].push_back({"v" + std::to_string(i), {100 + i, 1}, "a", false});
-    (void)router.set_view(start, view);
-    std::set<endpoint> denied;
-    auto asked = agents_of(router.on_packet(start, head_of(flow_a, false), "data"));
-    std::size_t refusals = 0;
-    while (!asked.empty()) {
-        CHECK(refusals == 0);
-        std::set<endpoint> more;
-        for (endpoint const agent : asked) {
-            CHECK(denied.insert(agent).second);
-            auto const out = router.on_notice(start, agent, notice_of(flow_report::not_held));
-            refusals += refused(out).size();
-            more.merge(agents_of(out));
-        }
-        asked = more;
-    }
-    CHECK(refusals == 1);
-    CHECK(denied.size() == upstreams + 3);
-}
-
 TEST_CASE("a caller is told that its flow is over only when every agent denies it") {
     packet_router router = make_router();
     (void)router.on_packet(start, head_of(flow_a, false), "data");
     CHECK(refused(router.on_notice(start, first_agent, notice_of(flow_report::not_held))).empty());
-    auto const wide = router.on_notice(start, second_agent, notice_of(flow_report::not_held));
+    CHECK(refused(router.on_notice(start, second_agent, notice_of(flow_report::not_held))).empty());
+    auto const wide = after_window(router, start);
     CHECK(refused(wide).empty());
-    CHECK(agents_of(wide) == std::set<endpoint>{art_agent});
-    auto const over = refused(router.on_notice(start, art_agent, notice_of(flow_report::not_held)));
+    REQUIRE(queries(wide).size() == 1);
+    auto const over = refused(
+        router.on_answer(start, art_agent, answer_to(queries(wide)[0], flow_state::denied)));
     REQUIRE(over.size() == 1);
     CHECK(over[0].sequence == 900);
 }
 
 // Replays the minutes after a loss of power: the route names every service, so that no agent is
-// left for the second stage of the search.
+// left for the last step of the search.
 TEST_CASE("a flow that is over is told at once where the route names all services") {
     packet_router router = make_router({{"batch", 1}, {"artwork", 1}});
     (void)router.on_packet(start, head_of(flow_a, false), "data");
@@ -220,13 +209,23 @@
     router_view view = make_view(make_routes(1, {{"batch", 1}}));
     view.upstreams["batch"].pop_back();
     (void)router.set_view(start, view);
-    auto const near = router.on_packet(start + seconds{1}, head_of(flow_a, false), "data");
+    time_point now = start + seconds{1};
+    auto const near = router.on_packet(now, head_of(flow_a, false), "data");
     CHECK(agents_of(near) == std::set<endpoint>{first_agent, second_agent});
-    (void)router.on_notice(start + seconds{1}, first_agent, notice_of(flow_report::not_held));
-    (void)router.on_tick(start + seconds{1} + milliseconds{50});
-    (void)router.on_notice(start + seconds{1}, art_agent, notice_of(flow_report::not_held));
-    auto const end = router.on_tick(start + seconds{1} + milliseconds{100});
-    CHECK(refused(end).empty());
+    (void)router.on_notice(now, first_agent, notice_of(flow_report::not_held));
+    std::size_t asked_again = 0;
+    for (int i = 0; i < 100; ++i, now += milliseconds{5}) {
+        auto const out = router.on_tick(now);
+        CHECK(refused(out).empty());
+        for (query_agent const& query : queries(out)) {
+            asked_again += query.agent == second_agent ? 1 : 0;
+            if (query.agent == art_agent)
+                CHECK(
+                    refused(router.on_answer(now, art_agent, answer_to(query, flow_state::denied)))
+                        .empty());
+        }
+    }
+    CHECK(asked_again == 1);
 }
 
 TEST_CASE("a route that moved to another service keeps its open flows where they are") {
