--- a/include/toucanusher/connection/carried_message.h
+++ b/include/toucanusher/connection/carried_message.h
@@ -41,7 +41,10 @@
     // For `open`: the latency that callers of the route want; zero: not known.
     std::chrono::milliseconds objective{};
     std::uint32_t priority = 0; // of the route; 0 is the most urgent
-    std::string packet;         // as the caller sent it
+    // For `open`: slots of an upstream of the service, for agents that do not know their own yet;
+    // 0: not known.
+    std::uint32_t usual_slots = 0;
+    std::string packet; // as the caller sent it
 
     friend bool operator==(carried_packet const&, carried_packet const&) = default;
 };
--- a/include/toucanusher/connection/flow_search.h
+++ b/include/toucanusher/connection/flow_search.h
@@ -25,6 +25,7 @@
     endpoint agent;
     std::string zone;
     bool draining = false;
+    std::uint32_t slots = 0; // 0: not known
 
     friend bool operator==(upstream_choice const&, upstream_choice const&) = default;
 };
--- a/include/toucanusher/connection/upstream_flows.h
+++ b/include/toucanusher/connection/upstream_flows.h
@@ -29,6 +29,9 @@
     duration flow_lifetime = std::chrono::seconds{60};
     duration idle_lifetime = std::chrono::seconds{75};  // above the longest idle timeout
     duration closed_lifetime = std::chrono::seconds{5}; // repeats of the last packets still pass
+    // A request that is not answered for this long is no work in progress: most callers have given
+    // up after 2.5 s.
+    duration answer_patience = std::chrono::seconds{4};
     // The load of an upstream, in thousandths of a slot. Requests in progress tell most, now and
     // on average; open flows only decide between equals, since most of them are idle.
     std::uint32_t waiting_weight = 500;
@@ -40,7 +43,7 @@
     // the rest is for the way there and back and for requests longer than the mean. Less urgent
     // flows leave more of it, so that a flood of them does not fill the queue for urgent ones.
     std::uint32_t urgent_percent = 100; // of the objective, for priority 0
-    std::uint32_t percent_a_step = 25;  // less for each step of priority
+    std::uint32_t percent_a_step = 20;  // less for each step of priority
     std::uint32_t least_percent = 50;
     // Flows are refused only under a lasting load: the averaged work, for each slot.
     double lasting_slots = 1;
@@ -108,7 +111,8 @@
     // The upstream's life ended: every flow is over.
     agent_output on_life_ended(time_point now);
     agent_output on_tick(time_point now);
-    // What the upstream says of itself.
+    // What the upstream says of itself. Until then it is not known whether there is one: after a
+    // start of the agent, new flows are taken if the balancer believes in an upstream here.
     void set_upstream(std::uint32_t slots, bool takes_new, time_point warm_at);
     // Every flow of the present life passed by here, so the table is complete.
     void set_complete(time_point now) { started_ = now - options_.flow_lifetime; }
@@ -138,9 +142,10 @@
         bool upstream_finished = false;
         endpoint origin; // the balancer that brought it last
         time_point last_seen{};
-        std::uint32_t caller_expects = 0;      // next sequence number towards the caller
-        std::uint32_t agreed_sequence = 0;     // of the upstream's agreement
-        std::optional<carried_packet> opening; // while phase is opening: what to pass on
+        std::uint32_t caller_expects = 0;         // next sequence number towards the caller
+        std::optional<std::uint32_t> caller_sent; // where the caller's data ended; tells repeats
+        std::uint32_t agreed_sequence = 0;        // of the upstream's agreement
+        std::optional<carried_packet> opening;    // while phase is opening: what to pass on
         time_point open_deadline{};
     };
 
@@ -151,17 +156,21 @@
     void deliver(time_point now, packet_head const& head, flow& known, carried_packet message);
     void on_returned(time_point now, packet_head const& head, std::string packet);
     void note_caller_packet(time_point now, packet_head const& head, flow& known);
+    void note_caller_data(time_point now, packet_head const& head, flow& known);
     void note_upstream_packet(time_point now, packet_head const& head, flow& known);
     void set_phase(time_point now, flow& known, flow_phase phase);
     void set_waiting(time_point now, flow& known, bool waiting);
+    void stop_waiting(time_point now, flow& known);
     void average_waiting(time_point now);
+    void note_answer(time_point now, flow const& known);
+    void add_service_time(duration sample);
     [[nodiscard]] double decayed_average(time_point now) const;
     void erase(time_point now, packet_flow const& key);
     void report(endpoint balancer, flow_report what, packet_flow const& flow, std::string packet,
                 std::uint32_t caller_expects = 0);
     void note(flow_event event, packet_flow const& flow);
     void sweep(time_point now);
-    [[nodiscard]] bool takes_new(time_point now) const;
+    [[nodiscard]] bool takes_new(time_point now, carried_packet const& message) const;
     [[nodiscard]] bool answers_in_time(time_point now, carried_packet const& message) const;
     [[nodiscard]] bool may_be_incomplete(time_point now) const;
     [[nodiscard]] flow_state state_of(time_point now, packet_flow const& key) const;
@@ -169,8 +178,8 @@
 
     upstream_flows_options options_;
     time_point started_;
-    std::uint32_t slots_ = 1; // never 0
-    bool takes_new_ = false;
+    std::uint32_t slots_ = 1;       // never 0
+    std::optional<bool> takes_new_; // nothing: the upstream has not spoken yet
     time_point warm_at_{};
     // Nothing came from the upstream since this opening packet went unanswered.
     std::optional<time_point> unresponsive_since_;
@@ -178,8 +187,10 @@
     std::vector<packet_flow> opening_; // keys whose phase may be opening, oldest first
     std::size_t open_ = 0;             // flows in phase open
     std::size_t waiting_ = 0;          // flows whose `waiting` is set
-    duration service_time_{};          // mean of answers to requests that found a slot; 0: unknown
-    double average_waiting_ = 0;       // of waiting_, at averaged_at_
+    duration
+        service_time_{}; // mean, of requests that found a slot or of a full upstream; 0: unknown
+    std::optional<time_point> full_since_; // the last answer, if every slot has been taken since
+    double average_waiting_ = 0;           // of waiting_, at averaged_at_
     time_point averaged_at_{};
     time_point next_sweep_{};
     agent_output output_;
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -174,7 +174,8 @@
             if (record->said.knows_flows)
                 view.upstreams[record->said.service].push_back(
                     {absl::StrCat(record->said.name, "/", value_of(record->ref.life)),
-                     record->said.agent, record->said.zone, record->said.draining});
+                     record->said.agent, record->said.zone, record->said.draining,
+                     record->said.slots});
         return view;
     }
 
--- a/src/connection/carried_codec.cpp
+++ b/src/connection/carried_codec.cpp
@@ -27,7 +27,7 @@
 auto fields(Archive& archive, carried_packet& value) {
     return detail::list_fields(archive, value.purpose, value.service, value.origin,
                                value.candidates, value.offers_wanted, value.best, value.objective,
-                               value.priority, value.packet);
+                               value.priority, value.usual_slots, value.packet);
 }
 template <typename Archive>
 auto fields(Archive& archive, flow_notice& value) {
--- a/src/connection/upstream_flows.cpp
+++ b/src/connection/upstream_flows.cpp
@@ -200,7 +200,9 @@
 }
 
 void upstream_flows::open_flow(time_point now, packet_head const& head, carried_packet message) {
-    if (!takes_new(now)) {
+    if (!takes_new_)
+        slots_ = std::max(message.usual_slots, 1U);
+    if (!takes_new(now, message)) {
         pass_on(head, std::move(message));
         return;
     }
@@ -316,12 +318,23 @@
     if (head.acknowledges)
         known.caller_expects = head.acknowledged;
     if (head.data_bytes > 0)
-        set_waiting(now, known, true);
+        note_caller_data(now, head, known);
     known.caller_finished = known.caller_finished || head.finishes;
     if (head.resets || (known.caller_finished && known.upstream_finished))
         set_phase(now, known, flow_phase::closed);
 }
 
+// A repeat may come after the answer, and is then no request.
+void upstream_flows::note_caller_data(time_point now, packet_head const& head, flow& known) {
+    std::uint32_t const end = head.sequence + head.data_bytes;
+    bool const repeat =
+        known.caller_sent && static_cast<std::int32_t>(end - *known.caller_sent) <= 0;
+    if (repeat)
+        return;
+    known.caller_sent = end;
+    set_waiting(now, known, true);
+}
+
 void upstream_flows::note_upstream_packet(time_point now, packet_head const& head, flow& known) {
     known.last_seen = now;
     // Only what holds the flow agrees to open it or has data for it.
@@ -348,33 +361,62 @@
     if (phase == flow_phase::open)
         ++open_;
     if (phase == flow_phase::closed)
-        set_waiting(now, known, false);
+        stop_waiting(now, known);
 }
 
 void upstream_flows::set_waiting(time_point now, flow& known, bool waiting) {
     if (known.waiting == waiting)
         return;
     average_waiting(now);
-    if (waiting) {
-        known.found_slot = waiting_ < slots_;
-        known.asked_at = now;
-    } else if (known.found_slot) {
-        duration const taken = now - known.asked_at;
-        service_time_ =
-            service_time_ == duration::zero()
-                ? taken
-                : service_time_ + std::chrono::duration_cast<duration>(
-                                      (taken - service_time_) * options_.service_time_weight);
+    if (!waiting) {
+        stop_waiting(now, known);
+        note_answer(now, known);
+        return;
     }
-    known.waiting = waiting;
-    waiting_ += waiting ? 1 : static_cast<std::size_t>(-1);
+    known.waiting = true;
+    known.found_slot = waiting_ < slots_;
+    known.asked_at = now;
+    ++waiting_;
+}
+
+// Without an answer, as far as is known.
+void upstream_flows::stop_waiting(time_point now, flow& known) {
+    if (!known.waiting)
+        return;
+    average_waiting(now);
+    known.waiting = false;
+    --waiting_;
+    if (waiting_ < slots_)
+        full_since_.reset();
+}
+
+// An upstream that was full since its last answer gives one for each slot in a time of service. A
+// request that found a slot took that time itself, but none does under a lasting overload.
+void upstream_flows::note_answer(time_point now, flow const& known) {
+    // One that came when every slot was taken, and overtook all that were there, was turned away.
+    bool const turned_away = !known.found_slot && full_since_ && known.asked_at >= *full_since_;
+    if (turned_away)
+        return;
+    if (known.found_slot)
+        add_service_time(now - known.asked_at);
+    else if (full_since_)
+        add_service_time((now - *full_since_) * slots_);
+    if (waiting_ >= slots_)
+        full_since_ = now;
+}
+
+void upstream_flows::add_service_time(duration sample) {
+    if (service_time_ == duration::zero())
+        service_time_ = sample;
+    else
+        service_time_ += std::chrono::duration_cast<duration>((sample - service_time_) *
+                                                              options_.service_time_weight);
 }
 
 void upstream_flows::erase(time_point now, packet_flow const& key) {
     auto const at = flows_.find(key);
     if (at == flows_.end())
         return;
-    set_waiting(now, at->second, false);
     set_phase(now, at->second, flow_phase::closed);
     flows_.erase(at);
 }
@@ -392,7 +434,9 @@
 void upstream_flows::sweep(time_point now) {
     next_sweep_ = now + sweep_interval;
     std::vector<packet_flow> gone;
-    for (auto const& [key, known] : flows_) {
+    for (auto& [key, known] : flows_) {
+        if (known.waiting && now - known.asked_at > options_.answer_patience)
+            stop_waiting(now, known);
         bool const brief = known.phase != flow_phase::open && known.phase != flow_phase::opening;
         duration const kept = brief ? options_.closed_lifetime : options_.idle_lifetime;
         if (now - known.last_seen > kept)
@@ -402,9 +446,9 @@
         erase(now, key);
 }
 
-bool upstream_flows::takes_new(time_point now) const {
+bool upstream_flows::takes_new(time_point now, carried_packet const& message) const {
     bool const answers = !unresponsive_since_ || now - *unresponsive_since_ > retry_unresponsive;
-    return takes_new_ && answers;
+    return answers && takes_new_.value_or(message.usual_slots > 0);
 }
 
 // Nothing is refused while a slot is free, or was for a good part of the last second: a backlog
--- a/tests/load_replay.cpp
+++ b/tests/load_replay.cpp
@@ -111,12 +111,16 @@
         events_.push({now_ + delay, next_order_++, std::move(job)});
     }
 
-    void add_upstream() {
+    std::unique_ptr<upstream_flows> make_agent(std::uint32_t index) const {
         upstream_flows_options agent;
         agent.service = "s";
-        agent.self = agent_address(static_cast<std::uint32_t>(upstreams_.size()));
+        agent.self = agent_address(index);
+        return std::make_unique<upstream_flows>(agent, now_);
+    }
+
+    void add_upstream() {
         auto made = std::make_unique<upstream>();
-        made->agent = std::make_unique<upstream_flows>(agent, now_);
+        made->agent = make_agent(static_cast<std::uint32_t>(upstreams_.size()));
         made->agent->set_upstream(options_.slots, true, now_);
         made->agent->set_complete(now_);
         upstreams_.push_back(std::move(made));
@@ -140,14 +144,18 @@
         router_view view{routes, {}};
         for (std::uint32_t i = 0; i < upstreams_.size(); ++i)
             if (upstreams_[i]->present)
-                view.upstreams["s"].push_back(
-                    {std::to_string(i), agent_address(i), "z", upstreams_[i]->draining});
+                view.upstreams["s"].push_back({std::to_string(i), agent_address(i), "z",
+                                               upstreams_[i]->draining, options_.slots});
         for (auto const& router : routers_)
             (void)router->set_view(now_, view);
     }
 
     void apply(replay_options::change const& change) {
         upstream& target = *upstreams_[change.upstream];
+        if (change.restarts) {
+            restart_agent(change);
+            return;
+        }
         target.slower = change.slower;
         if (change.joins) {
             target.present = true;
@@ -159,6 +167,14 @@
         publish();
     }
 
+    void restart_agent(replay_options::change const& change) {
+        upstream& target = *upstreams_[change.upstream];
+        target.agent = make_agent(change.upstream);
+        after(change.speaks_after, [this, &target] {
+            target.agent->set_upstream(options_.slots, !target.draining, target.warm_at);
+        });
+    }
+
     double burst_factor(std::size_t of_class) const {
         double factor = 1;
         duration const since = now_ - start_;
@@ -213,8 +229,10 @@
         after(caller_hop, [this, key] { on_router(key, head(key, true)); });
     }
 
-    static packet_head head(packet_flow const& key, bool opens) {
+    packet_head head(packet_flow const& key, bool opens) {
         packet_head made;
+        if (!opens)
+            made.sequence = next_sequence_ += 100;
         made.flow = key;
         made.opens = opens;
         made.acknowledges = !opens;
@@ -473,6 +491,7 @@
     std::priority_queue<event> events_;
     std::uint64_t next_order_ = 0;
     std::uint64_t next_caller_ = 0;
+    std::uint32_t next_sequence_ = 0; // no packet repeats another
     std::vector<std::unique_ptr<upstream>> upstreams_;
     std::vector<std::unique_ptr<packet_router>> routers_;
     std::map<packet_flow, caller_flow> flows_;
--- a/tests/load_replay.h
+++ b/tests/load_replay.h
@@ -63,7 +63,9 @@
         duration at{};
         bool drains = false;
         double slower = 1;
-        bool joins = false; // is not there before
+        bool joins = false;      // is not there before
+        bool restarts = false;   // its agent does, and knows nothing
+        duration speaks_after{}; // the upstream, to an agent that has restarted
     };
     std::vector<change> changes;
     bool judge_time = true; // agents refuse what they cannot serve within its objective
--- a/tests/load_replay_test.cpp
+++ b/tests/load_replay_test.cpp
@@ -103,4 +103,23 @@
         CHECK(item.worth() >= kept_in_flood);
 }
 
+// Load pattern: everything that callers asked for during an outage of a second comes at once, to
+// agents that have all just restarted; their upstreams speak to them within 1.2 s, one by one. Most
+// flows that are opened in that second stay for the rest of the day.
+TEST_CASE("new flows are spread although most agents have not heard their upstreams yet") {
+    replay_options options = make_load();
+    for (std::size_t i = 0; i < options.classes.size(); ++i)
+        options.bursts.push_back({i, 15.0, seconds{6}, seconds{6} + milliseconds{100}});
+    for (std::uint32_t i = 0; i < options.upstreams; ++i)
+        options.changes.push_back({.upstream = i,
+                                   .at = seconds{6},
+                                   .restarts = true,
+                                   .speaks_after = milliseconds{170 * i}});
+    options.warm_up = seconds{9}; // what stays of it
+    auto const result = replay_load(options, seed);
+    for (class_result const& item : result.classes)
+        CHECK(item.worth() >= kept_in_flood);
+    CHECK(result.max_over_mean <= peak_max_over_mean);
+}
+
 } // namespace toucanusher::tests
--- a/tests/upstream_flows_test.cpp
+++ b/tests/upstream_flows_test.cpp
@@ -271,4 +271,100 @@
     CHECK(flows.load(start + seconds{12}) <= idle);
 }
 
+// Load pattern: under overload answers take longer than callers wait before they repeat a packet,
+// so the repeat comes after the answer. Counted as a request it would never be answered.
+TEST_CASE("a repeated packet is no second request") {
+    upstream_flows flows = make_flows();
+    open(flows, flow_a);
+    packet_head request = head_of(flow_a, 10);
+    request.sequence = 1000;
+    (void)flows.on_carried(start, request, known_packet());
+    CHECK(flows.waiting_flows() == 1);
+    (void)flows.on_upstream_packet(start, from_upstream(flow_a, false, 10), "answer");
+    CHECK(flows.waiting_flows() == 0);
+    (void)flows.on_carried(start, request, known_packet());
+    CHECK(flows.waiting_flows() == 0);
+    request.sequence = 1010;
+    (void)flows.on_carried(start, request, known_packet());
+    CHECK(flows.waiting_flows() == 1);
+}
+
+TEST_CASE("a request that its caller has given up is no work in progress") {
+    upstream_flows flows = make_flows();
+    open(flows, flow_a);
+    (void)flows.on_carried(start, head_of(flow_a, 10), known_packet());
+    (void)flows.on_tick(start + seconds{3});
+    CHECK(flows.waiting_flows() == 1);
+    (void)flows.on_tick(start + seconds{6});
+    CHECK(flows.waiting_flows() == 0);
+    CHECK(flows.open_flows() == 1);
+    CHECK(flows.expected_answer() == duration::zero()); // it was no answer
+}
+
+// Load pattern: an agent restarts beside an upstream that is full. The upstream turns the first
+// request away at once, and from then on no request finds a slot.
+TEST_CASE("how long answers take is learnt also while no request finds a slot") {
+    upstream_flows flows = make_flows();
+    constexpr std::uint16_t callers = 15;
+    auto const key = [](std::uint16_t number) { return packet_flow{{3, number}, {200, 443}}; };
+    std::uint32_t sequence = 0;
+    auto const ask = [&](std::uint16_t number, time_point now) {
+        packet_head request = head_of(key(number), 10);
+        request.sequence = sequence += 10;
+        (void)flows.on_carried(now, request, known_packet());
+    };
+    auto const answer = [&](std::uint16_t number, time_point now) {
+        (void)flows.on_upstream_packet(now, from_upstream(key(number), false, 10), "answer");
+    };
+    for (std::uint16_t number = 1; number <= callers; ++number)
+        open(flows, key(number));
+    ask(1, start);
+    answer(1, start + milliseconds{1});
+    CHECK(flows.expected_answer() < milliseconds{10});
+    for (std::uint16_t number = 1; number <= callers; ++number)
+        ask(number, start + milliseconds{2});
+    // Three slots of 30 ms; each caller asks again as soon as it is answered.
+    time_point now = start + milliseconds{2};
+    for (int answered = 0; answered < 200; ++answered) {
+        now += milliseconds{10};
+        auto const number = static_cast<std::uint16_t>(answered % callers + 1);
+        answer(number, now);
+        ask(number, now);
+        // Every fifth request is turned away.
+        if (answered % 5 == 0) {
+            auto const extra = static_cast<std::uint16_t>(100 + answered);
+            open(flows, key(extra), now);
+            ask(extra, now + milliseconds{1});
+            answer(extra, now + milliseconds{2});
+        }
+    }
+    CHECK(flows.waiting_flows() == callers);
+    CHECK(flows.expected_answer() > milliseconds{130}); // 13 ahead, at 10 ms each
+    CHECK(flows.expected_answer() < milliseconds{180});
+    carried_packet message = opening_packet({other_agent}, 1);
+    message.objective = milliseconds{120};
+    auto const out = flows.on_carried(now, opening_head(flow_b), message);
+    CHECK(actions_of<deliver_packet>(out).empty());
+    CHECK(actions_of<pass_on_packet>(out).size() == 1);
+}
+
+// Load pattern: all agents restart at once; those whose upstreams speak first must not get all new
+// flows, which stay for minutes.
+TEST_CASE("an agent that has not heard its upstream yet takes what a balancer offers") {
+    upstream_flows_options options;
+    options.service = "batch";
+    options.self = own_address;
+    upstream_flows flows(options, start);
+    carried_packet message = opening_packet({}, 1);
+    CHECK(
+        actions_of<deliver_packet>(flows.on_carried(start, opening_head(flow_a), message)).empty());
+    message.usual_slots = 3;
+    CHECK(
+        actions_of<deliver_packet>(flows.on_carried(start, opening_head(flow_a), message)).size() ==
+        1);
+    flows.set_upstream(3, false, start); // it speaks, and leaves
+    CHECK(
+        actions_of<deliver_packet>(flows.on_carried(start, opening_head(flow_b), message)).empty());
+}
+
 } // namespace toucanusher
