--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -57,6 +57,7 @@
 enum class router_event : std::uint8_t {
     placing, // a new flow was sent to its candidates
     placing_again,
+    other_service, // the chosen one cannot serve the flow in time, the route has another
     delivered,
     searching,
     found,
@@ -108,7 +109,9 @@
     };
     struct opening {
         std::string packet;
-        std::string service;
+        // The one that the weights chose, then the route's others, for when it cannot serve in
+        // time.
+        std::vector<std::string> services;
         std::chrono::milliseconds objective{};
         std::uint32_t priority = 0;
         std::vector<endpoint> asked; // first candidates of earlier attempts
@@ -136,7 +139,9 @@
     void deliver(time_point now, packet_flow const& flow, hint& known, std::string packet);
     void note(router_event event, packet_flow const& flow, endpoint agent = {});
     void sweep_hints(time_point now);
-    [[nodiscard]] std::string pick_service(route const& item, packet_flow const& flow) const;
+    void on_nobody_takes(time_point now, endpoint agent, packet_flow const& flow);
+    [[nodiscard]] static std::vector<std::string> order_services(route const& item,
+                                                                 packet_flow const& flow);
     [[nodiscard]] std::vector<upstream_choice const*>
     rank(time_point now, std::string const& service, packet_flow const& flow) const;
     [[nodiscard]] std::vector<std::string> const& services_of(packet_flow const& flow) const;
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -40,6 +40,8 @@
         return "placing";
     case router_event::placing_again:
         return "placing_again";
+    case router_event::other_service:
+        return "other_service";
     case router_event::delivered:
         return "delivered";
     case router_event::searching:
@@ -146,20 +148,32 @@
         return finish(now);
     }
     if (notice.report == flow_report::nobody_takes) {
-        auto const open = openings_.find(flow);
-        if (open == openings_.end())
-            return finish(now);
-        note(router_event::nobody_takes, flow, agent);
-        // A copy may have found a place meanwhile, so only the first packet is refused aloud.
-        if (open->second.copies == 0)
-            output_.actions.emplace_back(refuse_flow{flow});
-        openings_.erase(open);
+        on_nobody_takes(now, agent, flow);
         return finish(now);
     }
     on_not_held(now, agent, notice);
     return finish(now);
 }
 
+void packet_router::on_nobody_takes(time_point now, endpoint agent, packet_flow const& flow) {
+    auto const at = openings_.find(flow);
+    if (at == openings_.end())
+        return;
+    opening& open = at->second;
+    if (open.services.size() > 1) {
+        note(router_event::other_service, flow, agent);
+        open.services.erase(open.services.begin());
+        open.asked.clear();
+        place(now, flow, open);
+        return;
+    }
+    note(router_event::nobody_takes, flow, agent);
+    // A copy may have found a place meanwhile, so only the first packet is refused aloud.
+    if (open.copies == 0)
+        output_.actions.emplace_back(refuse_flow{flow});
+    openings_.erase(at);
+}
+
 void packet_router::on_not_held(time_point now, endpoint agent, flow_notice const& notice) {
     packet_flow const& flow = notice.flow;
     auto const known = hints_.find(flow);
@@ -210,7 +224,7 @@
     open.copies = head.acknowledged;
     if (added) {
         route const& item = view_.routes->routes[*index_.find(head.flow.route)];
-        open.service = pick_service(item, head.flow);
+        open.services = order_services(item, head.flow);
         open.objective = item.objective;
         open.priority = item.priority;
         open.began = now;
@@ -220,7 +234,7 @@
 
 // Sends the opening packet to the next candidates that were not asked yet.
 void packet_router::place(time_point now, packet_flow const& flow, opening& open) {
-    std::vector<upstream_choice const*> const ranked = rank(now, open.service, flow);
+    std::vector<upstream_choice const*> const ranked = rank(now, open.services.front(), flow);
     std::vector<endpoint> candidates;
     for (upstream_choice const* choice : ranked)
         if (!contains(open.asked, choice->agent))
@@ -243,13 +257,14 @@
     note(open.attempts > 1 ? router_event::placing_again : router_event::placing, flow, first);
     output_.actions.emplace_back(carry_to_agent{first,
                                                 {.purpose = carry_purpose::open,
-                                                 .service = open.service,
+                                                 .service = open.services.front(),
                                                  .origin = options_.self,
                                                  .candidates = std::move(candidates),
                                                  .offers_wanted = options_.offers,
                                                  .best = {},
                                                  .objective = open.objective,
                                                  .priority = open.priority,
+                                                 .usual_slots = ranked.front()->slots,
                                                  .packet = open.packet}});
 }
 
@@ -341,19 +356,25 @@
     std::erase_if(suspected_, [&](auto const& item) { return now >= item.second; });
 }
 
-std::string packet_router::pick_service(route const& item, packet_flow const& flow) const {
-    std::uint64_t total = 0;
-    for (weighted_service const& part : item.split)
-        total += part.weight;
-    if (total == 0)
-        return {};
-    std::uint64_t draw = place_in_order(flow, 0) % total;
-    for (weighted_service const& part : item.split) {
-        if (draw < part.weight)
-            return part.service;
-        draw -= part.weight;
+// The weights choose the first one, the same for each packet of the flow. Never empty.
+std::vector<std::string> packet_router::order_services(route const& item, packet_flow const& flow) {
+    std::vector<weighted_service> left = item.split;
+    std::erase_if(left, [](weighted_service const& part) { return part.weight == 0; });
+    std::vector<std::string> order;
+    while (!left.empty()) {
+        std::uint64_t total = 0;
+        for (weighted_service const& part : left)
+            total += part.weight;
+        std::uint64_t draw = place_in_order(flow, order.size()) % total;
+        auto chosen = left.begin();
+        while (draw >= chosen->weight)
+            draw -= (chosen++)->weight;
+        order.push_back(chosen->service);
+        left.erase(chosen);
     }
-    return {};
+    if (order.empty())
+        order.emplace_back();
+    return order;
 }
 
 // Candidates in the flow's own random order; suspected and leaving ones come last.
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -271,6 +271,30 @@
               .empty());
 }
 
+// Load pattern: after an outage all flows are opened anew, and new weights send them to a service
+// with two upstreams, while the seven of the other service idle.
+TEST_CASE("a flow that its service cannot serve in time goes to the route's other service") {
+    packet_router router = make_router({{"batch", 99}, {"artwork", 1}});
+    auto const first = carried(router.on_packet(start, head_of(flow_a, true), "opening"));
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].message.service == "batch");
+    auto const out = router.on_notice(start, first_agent, notice_of(flow_report::nobody_takes));
+    CHECK(refused(out).empty());
+    REQUIRE(carried(out).size() == 1);
+    CHECK(carried(out)[0].message.service == "artwork");
+    CHECK(carried(out)[0].agent == art_agent);
+    CHECK(
+        refused(router.on_notice(start, art_agent, notice_of(flow_report::nobody_takes))).size() ==
+        1);
+}
+
+TEST_CASE("a service without weight takes no flow, not even one that nobody else takes") {
+    packet_router router = make_router({{"batch", 1}, {"artwork", 0}});
+    (void)router.on_packet(start, head_of(flow_a, true), "opening");
+    CHECK(refused(router.on_notice(start, first_agent, notice_of(flow_report::nobody_takes)))
+              .size() == 1);
+}
+
 TEST_CASE("new flows follow the weights, each of them always the same way") {
     packet_router router = make_router({{"batch", 90}, {"artwork", 10}});
     int artwork = 0;
