--- a/include/toucanusher/connection/carried_message.h
+++ b/include/toucanusher/connection/carried_message.h
@@ -67,27 +67,27 @@
 };
 
 // Asks an agent which of some flows its upstream holds.
-struct flow_query {
+struct holder_query {
     std::uint32_t number = 0; // comes back in the answer
     endpoint origin;          // where the answer goes
     std::vector<packet_flow> flows;
 
-    friend bool operator==(flow_query const&, flow_query const&) = default;
+    friend bool operator==(holder_query const&, holder_query const&) = default;
 };
 
-enum class flow_state : std::uint8_t {
+enum class holder_state : std::uint8_t {
     denied, // not held, for certain
     held,
     unsure, // only the upstream knows: send the packet
 };
 
-struct flow_answer {
+struct holder_answer {
     std::uint32_t number = 0;
-    std::vector<flow_state> states; // one for each flow, in the order of the query
+    std::vector<holder_state> states; // one for each flow, in the order of the query
 
-    friend bool operator==(flow_answer const&, flow_answer const&) = default;
+    friend bool operator==(holder_answer const&, holder_answer const&) = default;
 };
 
-using carried_message = std::variant<carried_packet, flow_notice, flow_query, flow_answer>;
+using carried_message = std::variant<carried_packet, flow_notice, holder_query, holder_answer>;
 
 } // namespace toucanusher
--- a/include/toucanusher/connection/flow_search.h
+++ b/include/toucanusher/connection/flow_search.h
@@ -66,7 +66,7 @@
 };
 struct query_agent {
     endpoint agent;
-    flow_query message;
+    holder_query message;
 };
 
 // How a search ended.
@@ -110,7 +110,7 @@
     // The agent holds the flow and has delivered the packet that it got.
     void on_held(endpoint agent, packet_flow const& flow);
     void on_denied(time_point now, endpoint agent, packet_flow const& flow);
-    void on_answer(time_point now, endpoint agent, flow_answer const& answer);
+    void on_answer(time_point now, endpoint agent, holder_answer const& answer);
     void on_tick(time_point now);
     // When on_tick() has something to do next.
     [[nodiscard]] std::optional<time_point> next_due() const;
--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -95,7 +95,7 @@
     void heard_control(time_point when) { search_.heard_control(when); }
     router_output on_packet(time_point now, packet_head const& head, std::string packet);
     router_output on_notice(time_point now, endpoint agent, flow_notice const& notice);
-    router_output on_answer(time_point now, endpoint agent, flow_answer const& answer);
+    router_output on_answer(time_point now, endpoint agent, holder_answer const& answer);
     router_output on_tick(time_point now);
     // When on_tick() has something to do next.
     [[nodiscard]] std::optional<time_point> next_due() const;
--- a/include/toucanusher/connection/upstream_flows.h
+++ b/include/toucanusher/connection/upstream_flows.h
@@ -52,7 +52,7 @@
 };
 
 // Delivers a caller's packet to the upstream.
-struct deliver_packet {
+struct deliver_to_upstream {
     std::string packet;
 };
 struct answer_caller {
@@ -74,10 +74,10 @@
 };
 struct answer_balancer {
     endpoint balancer;
-    flow_answer answer;
+    holder_answer answer;
 };
-using agent_action = std::variant<deliver_packet, answer_caller, pass_on_packet, notify_balancer,
-                                  answer_balancer, reset_flow>;
+using agent_action = std::variant<deliver_to_upstream, answer_caller, pass_on_packet,
+                                  notify_balancer, answer_balancer, reset_flow>;
 
 // Why a decision fell as it did, for counters and logs.
 enum class flow_event : std::uint8_t {
@@ -105,7 +105,7 @@
     upstream_flows(upstream_flows_options options, time_point started);
 
     agent_output on_carried(time_point now, packet_head const& head, carried_packet message);
-    agent_output on_query(time_point now, flow_query const& query);
+    agent_output on_query(time_point now, holder_query const& query);
     // A packet that the upstream sent; returned ones are given without their mark.
     agent_output on_upstream_packet(time_point now, packet_head const& head, std::string packet);
     // The upstream's life ended: every flow is over.
@@ -173,7 +173,7 @@
     [[nodiscard]] bool takes_new(time_point now, carried_packet const& message) const;
     [[nodiscard]] bool answers_in_time(time_point now, carried_packet const& message) const;
     [[nodiscard]] bool may_be_incomplete(time_point now) const;
-    [[nodiscard]] flow_state state_of(time_point now, packet_flow const& key) const;
+    [[nodiscard]] holder_state state_of(time_point now, packet_flow const& key) const;
     agent_output finish();
 
     upstream_flows_options options_;
--- a/programs/packet_agent.cpp
+++ b/programs/packet_agent.cpp
@@ -159,7 +159,7 @@
 
     void on_carried_bytes(time_point now, datagram const& in) {
         auto message = decode_carried_message(in.bytes);
-        if (auto const* query = message.ok() ? std::get_if<flow_query>(&*message) : nullptr) {
+        if (auto const* query = message.ok() ? std::get_if<holder_query>(&*message) : nullptr) {
             carry_out(flows_.on_query(now, *query));
             return;
         }
@@ -250,7 +250,7 @@
             note(event, flow);
     }
 
-    void perform(deliver_packet& out) {
+    void perform(deliver_to_upstream& out) {
         send(upstream_, {own_.upstream, {}, std::move(out.packet)});
     }
     void perform(answer_caller& out) {
@@ -264,11 +264,11 @@
     }
     void perform(answer_balancer& out) {
         std::array<std::size_t, 3> counts{};
-        for (flow_state const state : out.answer.states)
+        for (holder_state const state : out.answer.states)
             ++counts[static_cast<std::size_t>(state)];
         auto const [denied, held, unsure] = counts;
         context_.counters.count("flows_queried", static_cast<double>(out.answer.states.size()));
-        context_.events->info(event_line("flow_query")
+        context_.events->info(event_line("holder_query")
                                   .add("balancer", to_string(out.balancer))
                                   .add("denied", denied)
                                   .add("held", held)
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -156,7 +156,7 @@
 
     void on_carrier_bytes(time_point now, datagram const& in) {
         auto const message = decode_carried_message(in.bytes);
-        if (auto const* answer = message.ok() ? std::get_if<flow_answer>(&*message) : nullptr) {
+        if (auto const* answer = message.ok() ? std::get_if<holder_answer>(&*message) : nullptr) {
             carry_out(router_.on_answer(now, in.peer, *answer));
             return;
         }
--- a/src/connection/carried_codec.cpp
+++ b/src/connection/carried_codec.cpp
@@ -11,8 +11,8 @@
     return value <= flow_report::other_service;
 }
 
-inline bool is_valid(flow_state value) {
-    return value <= flow_state::unsure;
+inline bool is_valid(holder_state value) {
+    return value <= holder_state::unsure;
 }
 
 template <typename Archive>
@@ -36,11 +36,11 @@
 }
 
 template <typename Archive>
-auto fields(Archive& archive, flow_query& value) {
+auto fields(Archive& archive, holder_query& value) {
     return detail::list_fields(archive, value.number, value.origin, value.flows);
 }
 template <typename Archive>
-auto fields(Archive& archive, flow_answer& value) {
+auto fields(Archive& archive, holder_answer& value) {
     return detail::list_fields(archive, value.number, value.states);
 }
 
--- a/src/connection/flow_search.cpp
+++ b/src/connection/flow_search.cpp
@@ -93,7 +93,7 @@
         conclude(now, at);
 }
 
-void flow_search::on_answer(time_point now, endpoint agent, flow_answer const& answer) {
+void flow_search::on_answer(time_point now, endpoint agent, holder_answer const& answer) {
     auto const query = queries_.find(answer.number);
     if (query == queries_.end() || query->second.agent != agent ||
         query->second.flows.size() != answer.states.size())
@@ -105,13 +105,13 @@
         if (at == searches_.end())
             continue;
         switch (answer.states[i]) {
-        case flow_state::held:
+        case holder_state::held:
             end(at, search_end::outcome::found, agent);
             break;
-        case flow_state::denied:
+        case holder_state::denied:
             on_denied(now, agent, flows[i]);
             break;
-        case flow_state::unsure:
+        case holder_state::unsure:
             // The upstream knows, and the packet is what it can be asked with.
             send_packet(agent, at->second);
             break;
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -185,7 +185,8 @@
         start_search(now, flow, notice.packet, notice.caller_expects, agent);
 }
 
-router_output packet_router::on_answer(time_point now, endpoint agent, flow_answer const& answer) {
+router_output packet_router::on_answer(time_point now, endpoint agent,
+                                       holder_answer const& answer) {
     suspected_.erase(agent);
     search_.on_answer(now, agent, answer);
     return finish(now);
--- a/src/connection/upstream_flows.cpp
+++ b/src/connection/upstream_flows.cpp
@@ -85,8 +85,8 @@
     return finish();
 }
 
-agent_output upstream_flows::on_query(time_point now, flow_query const& query) {
-    flow_answer answer{query.number, {}};
+agent_output upstream_flows::on_query(time_point now, holder_query const& query) {
+    holder_answer answer{query.number, {}};
     for (packet_flow const& key : query.flows)
         answer.states.push_back(state_of(now, key));
     output_.actions.emplace_back(answer_balancer{query.origin, std::move(answer)});
@@ -248,7 +248,7 @@
     fresh.origin = message.origin;
     fresh.last_seen = now;
     opening_.push_back(head.flow);
-    output_.actions.emplace_back(deliver_packet{message.packet});
+    output_.actions.emplace_back(deliver_to_upstream{message.packet});
     message.best.reset();
     fresh.opening = std::move(message);
 }
@@ -292,7 +292,7 @@
     bool const certain = known.phase == flow_phase::open;
     if (certain && (moved || message.purpose != carry_purpose::deliver))
         report(message.origin, flow_report::held, head.flow, {});
-    output_.actions.emplace_back(deliver_packet{std::move(message.packet)});
+    output_.actions.emplace_back(deliver_to_upstream{std::move(message.packet)});
 }
 
 void upstream_flows::on_returned(time_point now, packet_head const& head, std::string packet) {
@@ -467,13 +467,13 @@
     return now - started_ < options_.flow_lifetime;
 }
 
-flow_state upstream_flows::state_of(time_point now, packet_flow const& key) const {
+holder_state upstream_flows::state_of(time_point now, packet_flow const& key) const {
     auto const at = flows_.find(key);
     if (at == flows_.end())
-        return may_be_incomplete(now) ? flow_state::unsure : flow_state::denied;
+        return may_be_incomplete(now) ? holder_state::unsure : holder_state::denied;
     bool const certain =
         at->second.phase == flow_phase::open || at->second.phase == flow_phase::closed;
-    return certain ? flow_state::held : flow_state::unsure;
+    return certain ? holder_state::held : holder_state::unsure;
 }
 
 agent_output upstream_flows::finish() {
--- a/tests/flow_search_test.cpp
+++ b/tests/flow_search_test.cpp
@@ -32,7 +32,7 @@
 // A fleet whose agents answer a message after a millisecond.
 class fleet {
   public:
-    using holder_hook = std::function<std::optional<flow_state>(endpoint, packet_flow const&)>;
+    using holder_hook = std::function<std::optional<holder_state>(endpoint, packet_flow const&)>;
 
     // `state` says what an agent answers; nothing: it is silent.
     fleet(std::uint32_t upstreams, holder_hook state)
@@ -72,11 +72,11 @@
     void answer_packet(carry_to_agent const& packet) {
         auto const state = state_(packet.agent, {});
         for (std::uint16_t port = 1; port <= 400; ++port)
-            if (state == flow_state::denied && search.searches(flow_of(port)))
+            if (state == holder_state::denied && search.searches(flow_of(port)))
                 search.on_denied(now, packet.agent, flow_of(port));
     }
     void answer_query(query_agent const& query) {
-        flow_answer answer{query.message.number, {}};
+        holder_answer answer{query.message.number, {}};
         for (packet_flow const& flow : query.message.flows) {
             auto const state = state_(query.agent, flow);
             if (!state)
@@ -96,7 +96,7 @@
     std::vector<search_end> ended;
 };
 
-fleet::holder_hook everyone(std::optional<flow_state> state) {
+fleet::holder_hook everyone(std::optional<holder_state> state) {
     return [state](endpoint, packet_flow const&) { return state; };
 }
 
@@ -133,7 +133,7 @@
 // Load pattern: a loss of power ended every upstream's life at once; the callers of 200 flows come
 // back to one balancer in the same moment.
 TEST_CASE("the end of many flows costs each agent a few messages") {
-    fleet all(50, everyone(flow_state::denied));
+    fleet all(50, everyone(holder_state::denied));
     for (std::uint16_t port = 1; port <= 200; ++port)
         all.begin(port);
     all.run_for(milliseconds{100});
@@ -148,8 +148,8 @@
 // repeats, and one agent of 50 is gone for good. A query of one flow to everybody takes 8 KB.
 TEST_CASE("searches keep to their share of a thin link, and end what they can") {
     constexpr endpoint gone{120, 1};
-    fleet all(50, [&](endpoint agent, packet_flow const&) -> std::optional<flow_state> {
-        return agent == gone ? std::nullopt : std::optional{flow_state::denied};
+    fleet all(50, [&](endpoint agent, packet_flow const&) -> std::optional<holder_state> {
+        return agent == gone ? std::nullopt : std::optional{holder_state::denied};
     });
     for (std::uint16_t port = 1; port <= 400; ++port) {
         if (all.search.searches(flow_of(port)))
@@ -171,10 +171,10 @@
 TEST_CASE("an agent that answers late is asked again, one that stays silent leaves a doubt") {
     constexpr endpoint silent{99, 1}; // in the last step
     int asked = 0;
-    fleet all(7, [&](endpoint agent, packet_flow const&) -> std::optional<flow_state> {
+    fleet all(7, [&](endpoint agent, packet_flow const&) -> std::optional<holder_state> {
         if (agent == silent && ++asked < 3)
             return std::nullopt;
-        return flow_state::denied;
+        return holder_state::denied;
     });
     all.begin(1);
     all.run_for(milliseconds{400});
@@ -187,8 +187,8 @@
     CHECK(asked == 3);
     CHECK(all.queries == queries_before + 1);
     CHECK(all.count(search_end::outcome::over) == 1);
-    fleet doubtful(7, [&](endpoint agent, packet_flow const&) -> std::optional<flow_state> {
-        return agent == silent ? std::nullopt : std::optional{flow_state::denied};
+    fleet doubtful(7, [&](endpoint agent, packet_flow const&) -> std::optional<holder_state> {
+        return agent == silent ? std::nullopt : std::optional{holder_state::denied};
     });
     doubtful.begin(1);
     doubtful.run_for(seconds{3});
@@ -198,10 +198,10 @@
 }
 
 TEST_CASE("an agent that is not sure gets the packet, so that its upstream can tell") {
-    fleet all(7, [](endpoint agent, packet_flow const& flow) -> std::optional<flow_state> {
+    fleet all(7, [](endpoint agent, packet_flow const& flow) -> std::optional<holder_state> {
         if (agent.address == 99)
-            return flow.caller.port == 0 ? std::nullopt : std::optional{flow_state::unsure};
-        return flow_state::denied;
+            return flow.caller.port == 0 ? std::nullopt : std::optional{holder_state::unsure};
+        return holder_state::denied;
     });
     all.begin(1);
     all.run_for(milliseconds{20});
@@ -215,7 +215,7 @@
 }
 
 TEST_CASE("nobody is told that a flow is over by a balancer that may be behind") {
-    fleet all(7, everyone(flow_state::denied));
+    fleet all(7, everyone(holder_state::denied));
     all.now = start + seconds{2}; // since a control host was heard
     all.begin(1);
     all.run_for(milliseconds{100});
@@ -224,7 +224,7 @@
 }
 
 TEST_CASE("nobody is told that a flow is over where not everybody may be asked") {
-    fleet all(1500, everyone(flow_state::denied));
+    fleet all(1500, everyone(holder_state::denied));
     all.begin(1);
     all.run_for(seconds{3});
     REQUIRE(all.ended.size() == 1);
@@ -242,11 +242,11 @@
     search_output const out = all.search.take_output();
     REQUIRE(out.queries.size() == 1);
     std::uint32_t const number = out.queries[0].message.number;
-    all.search.on_answer(all.now, {100, 1}, {number, {flow_state::denied}});
+    all.search.on_answer(all.now, {100, 1}, {number, {holder_state::denied}});
     all.search.on_answer(all.now, out.queries[0].agent, {number, {}});
-    all.search.on_answer(all.now, out.queries[0].agent, {number + 9, {flow_state::denied}});
+    all.search.on_answer(all.now, out.queries[0].agent, {number + 9, {holder_state::denied}});
     CHECK(all.search.take_output().ended.empty());
-    all.search.on_answer(all.now, out.queries[0].agent, {number, {flow_state::denied}});
+    all.search.on_answer(all.now, out.queries[0].agent, {number, {holder_state::denied}});
     CHECK(all.search.take_output().ended.size() == 1);
 }
 
--- /dev/null
+++ b/tests/link_close_test.cpp
@@ -0,0 +1,68 @@
+// Links whose servers come and go: control hosts are killed and restarted while daemons and tools
+// open and close links to them. A program of its own, since a link that does not close ends the
+// program.
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "src/process/io/link.h"
+#include "src/process/io/udp_port.h"
+#include "toucanusher/process/duty.h"
+#include "toucanusher/process/ring.h"
+
+namespace toucanusher::tests {
+
+namespace {
+
+constexpr std::uint32_t loopback = 0x7f000001;
+constexpr auto patience = std::chrono::seconds{20}; // it takes less than two
+
+void pause(duration span) {
+    ring<bool> nothing(1);
+    (void)nothing.pop_until(std::chrono::steady_clock::now() + span);
+}
+
+endpoint free_address() {
+    udp_duties duties(1);
+    auto const port = udp_port::open(duties, {.bind = {loopback, 0}}, [](datagram) {});
+    return (*port)->local();
+}
+
+} // namespace
+
+TEST_CASE("links to a server that comes and goes close") {
+    endpoint const where = free_address();
+    constexpr int clients = 4;
+    constexpr int rounds = 250;
+    std::atomic<bool> stop{false};
+    ring<bool> done(clients + 1);
+    duty server("server", [&] {
+        while (!stop) {
+            auto opened = link_server::open(where, [](link_peer, std::string const&) {});
+            pause(std::chrono::milliseconds{3});
+        }
+        (void)done.try_push(true);
+    });
+    std::vector<std::unique_ptr<duty>> opening;
+    for (int i = 0; i < clients; ++i)
+        opening.push_back(std::make_unique<duty>("client", [&, i] {
+            for (int round = 0; round < rounds; ++round) {
+                auto link = link_client::open(where, [](std::string const&) {});
+                pause(std::chrono::microseconds{700 * ((round + i) % 9)});
+            }
+            (void)done.try_push(true);
+        }));
+    for (int ended = 0; ended <= clients; ++ended) {
+        stop = ended == clients;
+        if (!done.pop_until(std::chrono::steady_clock::now() + patience)) {
+            std::fputs("a link does not close\n", stderr);
+            std::_Exit(1); // its duty can never be joined
+        }
+    }
+}
+
+} // namespace toucanusher::tests
--- a/tests/load_replay.cpp
+++ b/tests/load_replay.cpp
@@ -304,7 +304,7 @@
 
     void perform(std::uint32_t index, packet_head const& made, agent_output const& output) {
         for (agent_action const& action : output.actions) {
-            if (std::holds_alternative<deliver_packet>(action)) {
+            if (std::holds_alternative<deliver_to_upstream>(action)) {
                 if (made.opens)
                     agree(index, made.flow);
                 else
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -96,7 +96,7 @@
     return router.on_tick(now + milliseconds{5});
 }
 
-flow_answer answer_to(query_agent const& query, flow_state state) {
+holder_answer answer_to(query_agent const& query, holder_state state) {
     return {query.message.number, std::vector(query.message.flows.size(), state)};
 }
 
@@ -144,8 +144,8 @@
     CHECK(wide[0].agent == art_agent);
     CHECK(wide[0].message.flows == std::vector{flow_a});
     (void)router.on_packet(later + milliseconds{6}, head_of(flow_a, false), "more");
-    auto const found = carried(
-        router.on_answer(later + milliseconds{7}, art_agent, answer_to(wide[0], flow_state::held)));
+    auto const found = carried(router.on_answer(later + milliseconds{7}, art_agent,
+                                                answer_to(wide[0], holder_state::held)));
     REQUIRE(found.size() == 2); // nothing was delivered yet
     CHECK(found[0].message.packet == "data");
     CHECK(found[1].message.packet == "more");
@@ -175,7 +175,7 @@
     CHECK(refused(wide).empty());
     REQUIRE(queries(wide).size() == 1);
     CHECK(queries(wide)[0].agent == art_agent);
-    (void)router.on_answer(start, art_agent, answer_to(queries(wide)[0], flow_state::held));
+    (void)router.on_answer(start, art_agent, answer_to(queries(wide)[0], holder_state::held));
     CHECK(carried(router.on_packet(start, head_of(flow_a, false), "more"))[0].agent == art_agent);
 }
 
@@ -188,7 +188,7 @@
     CHECK(refused(wide).empty());
     REQUIRE(queries(wide).size() == 1);
     auto const over = refused(
-        router.on_answer(start, art_agent, answer_to(queries(wide)[0], flow_state::denied)));
+        router.on_answer(start, art_agent, answer_to(queries(wide)[0], holder_state::denied)));
     REQUIRE(over.size() == 1);
     CHECK(over[0].sequence == 900);
 }
@@ -220,9 +220,9 @@
         for (query_agent const& query : queries(out)) {
             asked_again += query.agent == second_agent ? 1 : 0;
             if (query.agent == art_agent)
-                CHECK(
-                    refused(router.on_answer(now, art_agent, answer_to(query, flow_state::denied)))
-                        .empty());
+                CHECK(refused(
+                          router.on_answer(now, art_agent, answer_to(query, holder_state::denied)))
+                          .empty());
         }
     }
     CHECK(asked_again == 1);
--- a/tests/upstream_flows_test.cpp
+++ b/tests/upstream_flows_test.cpp
@@ -109,8 +109,8 @@
 
     carried_packet last = opening_packet({}, 1);
     last.best = load_offer{other_agent, load_level{5}};
-    CHECK(actions_of<deliver_packet>(flows.on_carried(start, opening_head(flow_a), last)).size() ==
-          1);
+    CHECK(actions_of<deliver_to_upstream>(flows.on_carried(start, opening_head(flow_a), last))
+              .size() == 1);
     open(flows, flow_b);
     (void)flows.on_carried(start, head_of(flow_b, 10), known_packet());
     packet_flow const third{{3, 1}, {200, 443}};
@@ -128,8 +128,9 @@
     auto const passed = actions_of<pass_on_packet>(
         flows.on_carried(start, opening_head(flow_b), opening_packet({other_agent}, 2)));
     CHECK(passed.size() == 1);
-    CHECK(actions_of<deliver_packet>(flows.on_carried(start, head_of(flow_a, 5), known_packet()))
-              .size() == 1);
+    CHECK(
+        actions_of<deliver_to_upstream>(flows.on_carried(start, head_of(flow_a, 5), known_packet()))
+            .size() == 1);
     auto const refused = actions_of<notify_balancer>(
         flows.on_carried(start, opening_head(flow_b), opening_packet({}, 0)));
     REQUIRE(refused.size() == 1);
@@ -141,7 +142,7 @@
     carried_packet message = known_packet();
     message.service = "artwork";
     auto const output = flows.on_carried(start, head_of(flow_a, 5), message);
-    CHECK(actions_of<deliver_packet>(output).empty());
+    CHECK(actions_of<deliver_to_upstream>(output).empty());
     REQUIRE(actions_of<notify_balancer>(output).size() == 1);
     CHECK(actions_of<notify_balancer>(output)[0].notice.report == flow_report::other_service);
     carried_packet opening = opening_packet({third_agent}, 2);
@@ -157,7 +158,7 @@
     carried_packet search = known_packet(carry_purpose::search);
     search.service = "artwork";
     auto const output = flows.on_carried(start, head_of(flow_a, 5), search);
-    CHECK(actions_of<deliver_packet>(output).size() == 1);
+    CHECK(actions_of<deliver_to_upstream>(output).size() == 1);
     REQUIRE(actions_of<notify_balancer>(output).size() == 1);
     CHECK(actions_of<notify_balancer>(output)[0].notice.report == flow_report::held);
 }
@@ -175,17 +176,17 @@
     REQUIRE(late.size() == 1);
     CHECK(late[0].agent == third_agent);
     // Until it speaks again, others take new flows at once.
-    CHECK(
-        actions_of<deliver_packet>(flows.on_carried(start + milliseconds{41}, opening_head(flow_a),
-                                                    opening_packet({third_agent}, 1)))
-            .empty());
+    CHECK(actions_of<deliver_to_upstream>(flows.on_carried(start + milliseconds{41},
+                                                           opening_head(flow_a),
+                                                           opening_packet({third_agent}, 1)))
+              .empty());
 }
 
 TEST_CASE("after a start beside a living upstream, the upstream tells which flows it holds") {
     upstream_flows flows = make_flows(false);
     auto const tried =
         flows.on_carried(start, head_of(flow_a, 5), known_packet(carry_purpose::search));
-    CHECK(actions_of<deliver_packet>(tried).size() == 1);
+    CHECK(actions_of<deliver_to_upstream>(tried).size() == 1);
     CHECK(actions_of<notify_balancer>(tried).empty());
     auto const found = flows.on_upstream_packet(start, from_upstream(flow_a, false, 100), "answer");
     REQUIRE(actions_of<notify_balancer>(found).size() == 1);
@@ -223,7 +224,7 @@
     CHECK(flows.waiting_flows() == 0);
     // The table of the new life is complete: unknown flows are denied without asking.
     auto const unknown = flows.on_carried(start + seconds{1}, head_of(flow_b, 5), known_packet());
-    CHECK(actions_of<deliver_packet>(unknown).empty());
+    CHECK(actions_of<deliver_to_upstream>(unknown).empty());
     REQUIRE(actions_of<notify_balancer>(unknown).size() == 1);
     CHECK(actions_of<notify_balancer>(unknown)[0].notice.report == flow_report::not_held);
 }
@@ -246,7 +247,7 @@
     (void)flows.on_upstream_packet(start + milliseconds{60}, late, "agreed");
     auto const other =
         flows.on_carried(start + milliseconds{70}, head_of(flow_a, 5), known_packet());
-    CHECK(actions_of<deliver_packet>(other).empty());
+    CHECK(actions_of<deliver_to_upstream>(other).empty());
     REQUIRE(actions_of<notify_balancer>(other).size() == 1);
     CHECK(actions_of<notify_balancer>(other)[0].notice.report == flow_report::not_held);
     CHECK(actions_of<notify_balancer>(other)[0].notice.packet == "data");
@@ -344,7 +345,7 @@
     carried_packet message = opening_packet({other_agent}, 1);
     message.objective = milliseconds{120};
     auto const out = flows.on_carried(now, opening_head(flow_b), message);
-    CHECK(actions_of<deliver_packet>(out).empty());
+    CHECK(actions_of<deliver_to_upstream>(out).empty());
     CHECK(actions_of<pass_on_packet>(out).size() == 1);
 }
 
@@ -356,15 +357,14 @@
     options.self = own_address;
     upstream_flows flows(options, start);
     carried_packet message = opening_packet({}, 1);
-    CHECK(
-        actions_of<deliver_packet>(flows.on_carried(start, opening_head(flow_a), message)).empty());
+    CHECK(actions_of<deliver_to_upstream>(flows.on_carried(start, opening_head(flow_a), message))
+              .empty());
     message.usual_slots = 3;
-    CHECK(
-        actions_of<deliver_packet>(flows.on_carried(start, opening_head(flow_a), message)).size() ==
-        1);
+    CHECK(actions_of<deliver_to_upstream>(flows.on_carried(start, opening_head(flow_a), message))
+              .size() == 1);
     flows.set_upstream(3, false, start); // it speaks, and leaves
-    CHECK(
-        actions_of<deliver_packet>(flows.on_carried(start, opening_head(flow_b), message)).empty());
+    CHECK(actions_of<deliver_to_upstream>(flows.on_carried(start, opening_head(flow_b), message))
+              .empty());
 }
 
 } // namespace toucanusher
--- a/tools/make_seeds.cpp
+++ b/tools/make_seeds.cpp
@@ -44,9 +44,9 @@
     std::string const carried = "fuzz_carried_message";
     write(folder, carried, "packet", encode_carried_message(carried_packet{}));
     write(folder, carried, "notice", encode_carried_message(flow_notice{}));
-    write(folder, carried, "query", encode_carried_message(flow_query{1, {}, {{}, {}}}));
+    write(folder, carried, "query", encode_carried_message(holder_query{1, {}, {{}, {}}}));
     write(folder, carried, "answer",
-          encode_carried_message(flow_answer{1, {flow_state::held, flow_state::unsure}}));
+          encode_carried_message(holder_answer{1, {holder_state::held, holder_state::unsure}}));
     std::string const control = "fuzz_control_message";
     heartbeat beat;
     beat.upstreams.emplace_back();
--- a/tools/process_tests.py
+++ b/tools/process_tests.py
@@ -125,8 +125,12 @@
         value = 1
         while not stop.is_set():
             value += 1
-            answer = fleet.cli("set", f"/{team}/{key}/queue_length", str(value), "--loudness",
-                               "10", check=False)
+            try:
+                answer = fleet.cli("set", f"/{team}/{key}/queue_length", str(value),
+                                   "--loudness", "10", check=False)
+            except Exception as error:  # a call that hangs is a fault of the test, not of the thread
+                faults.append(f"{key}: writing {value} failed: {error}")
+                return
             if answer.get("verdict") == "in_force":
                 accepted[key] = (value, answer["version"])
 
