--- a/src/process/io/daemon_config.cpp
+++ b/src/process/io/daemon_config.cpp
@@ -76,8 +76,8 @@
 void read_control(ini_file const& file, daemon_config& config, findings& found) {
     section_reader reader(file, "control", found);
     // Without a disk, a process that finds its fellows by itself sends callers to those with one.
-    config.data_folder = reader.text(
-        "data", config.seeds.empty() ? std::nullopt : std::optional{std::string{}});
+    config.data_folder =
+        reader.text("data", config.seeds.empty() ? std::nullopt : std::optional{std::string{}});
     config.member_lease =
         reader.milliseconds("member_lease_ms", 1000, max_milliseconds, config.member_lease);
     if (config.seeds.empty()) {
--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -118,8 +118,7 @@
         output_.to_hosts.push_back({*log_.leader(), request});
     std::vector<endpoint> known = host_addresses();
     if (!known.empty())
-        output_.to_hosts.push_back(
-            {from, host_directory{options_.self_address, std::move(known)}});
+        output_.to_hosts.push_back({from, host_directory{options_.self_address, std::move(known)}});
 }
 
 std::vector<endpoint> control_host::host_addresses() const {
