--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -57,7 +57,7 @@
 enum class router_event : std::uint8_t {
     placing, // a new flow was sent to its candidates
     placing_again,
-    other_service, // the chosen one cannot serve the flow in time, the route has another
+    next_service, // the chosen one cannot serve the flow in time, the route has another
     delivered,
     searching,
     found,
--- a/programs/explain.cpp
+++ b/programs/explain.cpp
@@ -91,6 +91,13 @@
         return absl::StrCat("the agent ", agent, " did not answer");
     if (what == "not_found")
         return "nobody answered for the flow in time";
+    if (what == "old_view")
+        return "every agent that the balancer knew denied the flow, but it had heard no control "
+               "host "
+               "for a while, so its caller was told nothing";
+    if (what == "next_service")
+        return "the service that the weights chose could not serve the flow in time; the route's "
+               "next one was asked";
     if (what == "too_late")
         return absl::StrCat("the upstream beside ", record.process,
                             " had too much work: ", record.field("waiting"),
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -40,8 +40,8 @@
         return "placing";
     case router_event::placing_again:
         return "placing_again";
-    case router_event::other_service:
-        return "other_service";
+    case router_event::next_service:
+        return "next_service";
     case router_event::delivered:
         return "delivered";
     case router_event::searching:
@@ -161,7 +161,7 @@
         return;
     opening& open = at->second;
     if (open.services.size() > 1) {
-        note(router_event::other_service, flow, agent);
+        note(router_event::next_service, flow, agent);
         open.services.erase(open.services.begin());
         open.asked.clear();
         place(now, flow, open);
--- a/tests/event_record_test.cpp
+++ b/tests/event_record_test.cpp
@@ -90,6 +90,19 @@
     CHECK(has_cause(found, "i-1 said that it ends"));
 }
 
+TEST_CASE("a flow that went to the route's other service, and one that a cut off balancer kept "
+          "silent on") {
+    auto const found = explain_lines(
+        {line(
+             "edge", "10:00:00.000000",
+             R"(flow what="next_service" caller="1.2.3.4:5" route="9.9.9.9:1" agent="10.0.0.1:7" boot_ms=1)"),
+         line("edge", "10:00:05.000000",
+              R"(flow what="old_view" caller="1.2.3.4:5" route="9.9.9.9:1" boot_ms=5001)")},
+        {"1.2.3.4:5", ""});
+    CHECK(has_cause(found, "next one was asked"));
+    CHECK(has_cause(found, "heard no control host"));
+}
+
 TEST_CASE("packets without a route, and a question without lines") {
     auto const found = explain_lines(
         {line(
