--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -142,9 +142,13 @@
         known.used = now;
         if (std::string service = search_.service_of(agent); !service.empty())
             known.service = std::move(service);
-        note(router_event::found, flow, agent);
-        output_.notes.back().took = took;
-        search_.on_held(agent, flow);
+        // The end of a search is noted as it is taken from there.
+        if (search_.searches(flow)) {
+            search_.on_held(agent, flow);
+        } else {
+            note(router_event::found, flow, agent);
+            output_.notes.back().took = took;
+        }
         return finish(now);
     }
     if (notice.report == flow_report::nobody_takes) {
@@ -312,6 +316,7 @@
 void packet_router::on_search_end(time_point now, search_end& end) {
     switch (end.what) {
     case search_end::outcome::found: {
+        note(router_event::found, end.flow, end.agent);
         hint& known = hints_[end.flow];
         known = {end.agent, search_.service_of(end.agent), now};
         for (std::string& packet : end.parked)
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -73,6 +73,13 @@
     return found;
 }
 
+std::size_t count_notes(router_output const& output, router_event what) {
+    std::size_t count = 0;
+    for (router_note const& note : output.notes)
+        count += note.what == what ? 1 : 0;
+    return count;
+}
+
 std::vector<query_agent> queries(router_output const& output) {
     std::vector<query_agent> found;
     for (router_action const& action : output.actions)
@@ -144,8 +151,10 @@
     CHECK(wide[0].agent == art_agent);
     CHECK(wide[0].message.flows == std::vector{flow_a});
     (void)router.on_packet(later + milliseconds{6}, head_of(flow_a, false), "more");
-    auto const found = carried(router.on_answer(later + milliseconds{7}, art_agent,
-                                                answer_to(wide[0], holder_state::held)));
+    auto const out = router.on_answer(later + milliseconds{7}, art_agent,
+                                      answer_to(wide[0], holder_state::held));
+    CHECK(count_notes(out, router_event::found) == 1);
+    auto const found = carried(out);
     REQUIRE(found.size() == 2); // nothing was delivered yet
     CHECK(found[0].message.packet == "data");
     CHECK(found[1].message.packet == "more");
@@ -157,7 +166,9 @@
     packet_router router = make_router();
     (void)router.on_packet(start, head_of(flow_a, false), "data");
     (void)router.on_packet(start, head_of(flow_a, false), "more");
-    auto const found = carried(router.on_notice(start, second_agent, notice_of(flow_report::held)));
+    auto const out = router.on_notice(start, second_agent, notice_of(flow_report::held));
+    CHECK(count_notes(out, router_event::found) == 1);
+    auto const found = carried(out);
     REQUIRE(found.size() == 1);
     CHECK(found[0].agent == second_agent);
     CHECK(found[0].message.packet == "more");
