Log when a daemon has no session with control, and what redirectors answer

Callers: nothing changes for them.

Change: a daemon logs `control_session what="established"/"lost"`, and once a second while it has no session `without_control` with the duration, the host asked, whether it answered, the age of that host's contact with a leader and the number of known hosts. A redirector logs `directory_sent what="empty"/"named"` for each requester, one line a second, and counts both. The gauge `control_established` is 0 or 1.

--- a/programs/control_redirector.cpp
+++ b/programs/control_redirector.cpp
@@ -166,6 +166,7 @@
         state_update update;
         update.directory_only = true;
         update.control_hosts = control_hosts_.hosts();
+        report_directory("daemon", update.control_hosts.size());
         if (!server_->send(peer, context_.sealer->seal(encode_control_message(update))))
             context_.counters.count_refusal("control", "link_send_failed");
     }
@@ -174,11 +175,20 @@
     void answer_host(endpoint address) {
         time_point const now = context_.clock.now();
         join_answer const directory{config_.listen, control_hosts_.hosts()};
+        report_directory(to_string(address), directory.hosts.size());
         links_.send(now, address, context_.sealer->seal(encode_control_message(directory)));
         links_.record_contact(address);
         links_.on_tick(now);
     }
 
+    void report_directory(std::string const& requester, std::size_t hosts) {
+        context_.counters.count(hosts == 0 ? "directory_empty" : "directory_sent");
+        context_.events->rate_limited_warning(event_line("directory_sent")
+                                                  .add("what", hosts == 0 ? "empty" : "named")
+                                                  .add("requester", requester)
+                                                  .add("hosts", hosts));
+    }
+
     [[nodiscard]] std::string status() const {
         return absl::StrCat("{\"role\":\"control\",\"redirects_to\":\"",
                             to_string(control_hosts_.current()),
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -21,6 +21,10 @@
 constexpr duration first_answer_timeout = std::chrono::milliseconds{350};
 constexpr duration first_heartbeat_interval = std::chrono::milliseconds{150};
 
+std::chrono::milliseconds to_milliseconds(duration span) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span);
+}
+
 } // namespace
 
 control_session::control_session(process_context& context, daemon_role role, view_hook on_view)
@@ -29,7 +33,7 @@
       follower_(make_state_codec(), context.process_instance),
       monitor_({.first_receive_timeout = first_answer_timeout, .replacements_per_peer = 0},
                context.clock.now()),
-      last_contact_(time_point{}) {
+      lost_at_(context.clock.now()), last_contact_(time_point{}) {
     duty_ = std::make_unique<duty>("control-link", [this] { run(); });
 }
 
@@ -54,8 +58,7 @@
 }
 
 std::chrono::milliseconds control_session::time_since_contact() const {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock.now() -
-                                                                 last_contact_.load());
+    return to_milliseconds(context_.clock.now() - last_contact_.load());
 }
 
 void control_session::set_seeds(std::vector<endpoint> seeds) {
@@ -71,6 +74,7 @@
 }
 
 void control_session::run() {
+    context_.counters.set("control_established", 0);
     connect();
     time_point next_heartbeat = context_.clock.now();
     while (!events_.finished()) {
@@ -82,6 +86,7 @@
         }
         if (apply_step(monitor_.on_tick(now)))
             next_heartbeat = now;
+        report_session(now);
         auto event = events_.pop_until(next_heartbeat);
         if (!event)
             continue;
@@ -108,6 +113,31 @@
     return monitor_.answered() && (follower_.confirmed() || !wants_state);
 }
 
+// Logs when the session is established or lost, and once a second while it is not established.
+void control_session::report_session(time_point now) {
+    bool const established = is_established();
+    if (std::exchange(was_established_, established) != established) {
+        lost_at_ = now;
+        context_.counters.set("control_established", established ? 1 : 0);
+        context_.events->info(event_line("control_session")
+                                  .add("what", established ? "established" : "lost")
+                                  .add("host", to_string(host_selector_.current()))
+                                  .add("version", value_of(follower_.version())));
+    }
+    if (established)
+        return;
+    event_line line("without_control");
+    line.add("for", to_milliseconds(now - lost_at_))
+        .add("asked", to_string(host_selector_.current()))
+        .add("answered", monitor_.answered() ? 1 : 0)
+        .add("known_hosts", host_selector_.directory().size());
+    if (monitor_.answered() && leader_contact_age_)
+        line.add("leader_contact_age", to_milliseconds(*leader_contact_age_));
+    else
+        line.add("leader", "unknown");
+    context_.events->rate_limited_warning(line);
+}
+
 void control_session::connect() {
     link_.reset();
     auto link = link_client::open(host_selector_.current(), [this](std::string bytes) {
@@ -167,6 +197,7 @@
         has_gap_ = true;
     monitor_.on_received(now);
     last_contact_ = now;
+    leader_contact_age_ = update->leader_contact_age;
     applied_ = value_of(follower_.version());
     context_.counters.set("applied_version", static_cast<double>(applied_));
     if (follower_.version() != before)
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -61,6 +62,7 @@
 
     void run();
     [[nodiscard]] bool is_established() const;
+    void report_session(time_point now);
     void connect();
     void send_heartbeat(time_point now);
     void on_bytes(time_point now, std::string const& bytes);
@@ -76,6 +78,9 @@
     std::unique_ptr<link_client> link_; // used by the duty only
     state_follower follower_;           // used by the duty only
     link_monitor monitor_;
+    std::optional<duration> leader_contact_age_; // as the host in use reported it last
+    bool was_established_ = false;
+    time_point lost_at_{};      // start of the time without an established session
     bool has_gap_ = false;      // an update does not follow the applied version
     bool link_changed_ = false; // no heartbeat was sent on the link yet
     mutable std::mutex mutex_;
