Move the choice of a daemon's control host out of its I/O

Callers: nothing changes for them.

Cause: control_session decides, reads the clock and owns sockets at once, so no model can play what a daemon does when the hosts that it asks know nothing.

Change: control_contact decides from updates and ticks which host a daemon is connected to; control_session opens the links and logs. Decisions are as before; the log line `control_silent` names the next host in place of the step, which was always "next".

--- /dev/null
+++ b/include/toucanusher/connection/control_contact.h
@@ -0,0 +1,52 @@
+// Decides which control host a daemon is connected to, from what the hosts answer.
+//
+// Does no I/O: the caller opens a link to host() whenever a call returns contact_step::connect, and
+// sends a heartbeat on it at once.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "toucanusher/connection/link_monitor.h"
+#include "toucanusher/process/clock.h"
+#include "toucanusher/process/endpoint.h"
+#include "toucanusher/version/control_host_selector.h"
+#include "toucanusher/version/control_message.h"
+
+namespace toucanusher {
+
+struct control_contact_options {
+    // Control answers every heartbeat at once. A host that leaves the first ones unanswered has
+    // stalled or failed, so another is tried; one that has answered before gets more time, to
+    // outlast a short stall.
+    link_monitor_options monitor{.first_receive_timeout = std::chrono::milliseconds{350},
+                                 .replacements_per_peer = 0};
+};
+
+enum class contact_step : std::uint8_t { keep, connect };
+
+class control_contact {
+  public:
+    control_contact(control_contact_options options, control_host_selector selector,
+                    time_point now);
+
+    [[nodiscard]] endpoint host() const { return selector_.current(); }
+    // Returns the control hosts that the last directory named; empty if there was none.
+    [[nodiscard]] std::vector<endpoint> const& directory() const { return selector_.directory(); }
+    // Returns whether host() has answered on the present link.
+    [[nodiscard]] bool answered() const { return monitor_.answered(); }
+    // Age of the contact of host() with a leader, as its last answer gave it.
+    [[nodiscard]] std::optional<duration> leader_contact_age() const { return leader_contact_age_; }
+
+    void set_seeds(std::vector<endpoint> seeds) { selector_.set_seeds(std::move(seeds)); }
+    [[nodiscard]] contact_step on_update(time_point now, state_update const& update);
+    [[nodiscard]] contact_step on_tick(time_point now);
+
+  private:
+    control_host_selector selector_;
+    link_monitor monitor_;
+    std::optional<duration> leader_contact_age_; // empty until host() has answered
+};
+
+} // namespace toucanusher
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -15,10 +15,6 @@
 // A newly applied version is reported within this time.
 constexpr duration version_report_delay = std::chrono::milliseconds{150};
 constexpr std::size_t event_ring_size = 1024;
-// Control answers every heartbeat at once. A host that leaves the first ones unanswered has stalled
-// or failed, so another is tried; one that has answered before gets more time, to outlast a short
-// stall.
-constexpr duration first_answer_timeout = std::chrono::milliseconds{350};
 constexpr duration first_heartbeat_interval = std::chrono::milliseconds{150};
 
 std::chrono::milliseconds to_milliseconds(duration span) {
@@ -29,10 +25,8 @@
 
 control_session::control_session(process_context& context, daemon_role role, view_hook on_view)
     : context_(context), role_(role), on_view_(std::move(on_view)),
-      host_selector_(make_host_selector(context.config)), events_(event_ring_size),
-      follower_(make_state_codec(), context.process_instance),
-      monitor_({.first_receive_timeout = first_answer_timeout, .replacements_per_peer = 0},
-               context.clock.now()),
+      contact_({}, make_host_selector(context.config), context.clock.now()),
+      events_(event_ring_size), follower_(make_state_codec(), context.process_instance),
       lost_at_(context.clock.now()), last_contact_(time_point{}) {
     duty_ = std::make_unique<duty>("control-link", [this] { run(); });
 }
@@ -84,7 +78,7 @@
             next_heartbeat =
                 now + (is_established() ? heartbeat_interval : first_heartbeat_interval);
         }
-        if (apply_step(monitor_.on_tick(now)))
+        if (leave_unresponsive_host(now))
             next_heartbeat = now;
         report_session(now);
         auto event = events_.pop_until(next_heartbeat);
@@ -94,7 +88,7 @@
         if (auto const* bytes = std::get_if<std::string>(&*event))
             on_bytes(context_.clock.now(), *bytes);
         else if (auto* seeds = std::get_if<seed_update>(&*event))
-            host_selector_.set_seeds(std::move(seeds->links));
+            contact_.set_seeds(std::move(seeds->links));
         else
             next_heartbeat = context_.clock.now();
         if (std::exchange(link_changed_, false))
@@ -110,7 +104,7 @@
         std::lock_guard const lock(mutex_);
         return content_.follows_state;
     }();
-    return monitor_.answered() && (follower_.confirmed() || !wants_state);
+    return contact_.answered() && (follower_.confirmed() || !wants_state);
 }
 
 // Logs when the session is established or lost, and once a second while it is not established.
@@ -121,18 +115,18 @@
         context_.counters.set("control_established", established ? 1 : 0);
         context_.events->info(event_line("control_session")
                                   .add("what", established ? "established" : "lost")
-                                  .add("host", to_string(host_selector_.current()))
+                                  .add("host", to_string(contact_.host()))
                                   .add("version", value_of(follower_.version())));
     }
     if (established)
         return;
     event_line line("without_control");
     line.add("for", to_milliseconds(now - lost_at_))
-        .add("asked", to_string(host_selector_.current()))
-        .add("answered", monitor_.answered() ? 1 : 0)
-        .add("known_hosts", host_selector_.directory().size());
-    if (monitor_.answered() && leader_contact_age_)
-        line.add("leader_contact_age", to_milliseconds(*leader_contact_age_));
+        .add("asked", to_string(contact_.host()))
+        .add("answered", contact_.answered() ? 1 : 0)
+        .add("known_hosts", contact_.directory().size());
+    if (auto const age = contact_.leader_contact_age())
+        line.add("leader_contact_age", to_milliseconds(*age));
     else
         line.add("leader", "unknown");
     context_.events->rate_limited_warning(line);
@@ -140,7 +134,7 @@
 
 void control_session::connect() {
     link_.reset();
-    auto link = link_client::open(host_selector_.current(), [this](std::string bytes) {
+    auto link = link_client::open(contact_.host(), [this](std::string bytes) {
         if (!events_.try_push(std::move(bytes)))
             context_.counters.count_refusal("control", "ring_full");
     });
@@ -183,11 +177,16 @@
         context_.counters.count_refusal("control", "malformed");
         return;
     }
-    if (update->directory_only) {
-        on_directory(update->control_hosts);
-        return;
+    endpoint const asked = contact_.host();
+    if (contact_.on_update(now, *update) == contact_step::connect) {
+        context_.events->rate_limited_warning(event_line("control_elsewhere")
+                                                  .add("asked", to_string(asked))
+                                                  .add("next", to_string(contact_.host())));
+        connect();
+        link_changed_ = true;
     }
-    host_selector_.set_directory(update->control_hosts);
+    if (update->directory_only)
+        return;
     version_number const before = follower_.version();
     update_outcome const outcome = follower_.on_update(now, *update);
     if (outcome == update_outcome::malformed)
@@ -195,9 +194,7 @@
     // The missing update may still be in transit, so it is not requested at once.
     if (outcome == update_outcome::gap)
         has_gap_ = true;
-    monitor_.on_received(now);
     last_contact_ = now;
-    leader_contact_age_ = update->leader_contact_age;
     applied_ = value_of(follower_.version());
     context_.counters.set("applied_version", static_cast<double>(applied_));
     if (follower_.version() != before)
@@ -207,34 +204,19 @@
         context_.counters.count("snapshot_applied");
     time_point const last_leader_contact =
         update->leader_contact_age ? now - *update->leader_contact_age : time_point{};
-    on_view_({follower_.state(), follower_.confirmed(), last_leader_contact,
-              host_selector_.current(), host_selector_.directory()});
-}
-
-// Switches to a host that the directory names. If it names no other, the host in use counts as
-// unresponsive.
-void control_session::on_directory(std::vector<endpoint> const& control_hosts) {
-    endpoint const previous = host_selector_.current();
-    if (!host_selector_.follow_directory(control_hosts))
-        return;
-    context_.events->rate_limited_warning(event_line("control_elsewhere")
-                                              .add("asked", to_string(previous))
-                                              .add("next", to_string(host_selector_.current())));
-    connect();
-    link_changed_ = true;
+    on_view_({follower_.state(), follower_.confirmed(), last_leader_contact, contact_.host(),
+              contact_.directory()});
 }
 
 // Returns true if the link was replaced.
-bool control_session::apply_step(link_step step) {
-    if (step == link_step::keep)
+bool control_session::leave_unresponsive_host(time_point now) {
+    endpoint const asked = contact_.host();
+    if (contact_.on_tick(now) == contact_step::keep)
         return false;
-    context_.counters.count(step == link_step::replace ? "link_replaced" : "control_host_changed");
-    context_.events->rate_limited_warning(
-        event_line("control_silent")
-            .add("host", to_string(host_selector_.current()))
-            .add("step", step == link_step::replace ? "replace" : "next"));
-    if (step == link_step::next_peer)
-        host_selector_.switch_host();
+    context_.counters.count("control_host_changed");
+    context_.events->rate_limited_warning(event_line("control_silent")
+                                              .add("host", to_string(asked))
+                                              .add("next", to_string(contact_.host())));
     connect();
     return true;
 }
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -6,17 +6,15 @@
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "programs/process_context.h"
 #include "src/process/io/link.h"
-#include "toucanusher/connection/link_monitor.h"
+#include "toucanusher/connection/control_contact.h"
 #include "toucanusher/process/duty.h"
 #include "toucanusher/process/ring.h"
-#include "toucanusher/version/control_host_selector.h"
 #include "toucanusher/version/state_follower.h"
 
 namespace toucanusher {
@@ -66,19 +64,16 @@
     void connect();
     void send_heartbeat(time_point now);
     void on_bytes(time_point now, std::string const& bytes);
-    void on_directory(std::vector<endpoint> const& control_hosts);
-    bool apply_step(link_step step);
+    bool leave_unresponsive_host(time_point now);
     static control_host_selector make_host_selector(daemon_config const& config);
 
     process_context& context_;
     daemon_role role_;
     view_hook on_view_;
-    control_host_selector host_selector_; // used by the duty only
+    control_contact contact_; // used by the duty only
     ring<event> events_;
     std::unique_ptr<link_client> link_; // used by the duty only
     state_follower follower_;           // used by the duty only
-    link_monitor monitor_;
-    std::optional<duration> leader_contact_age_; // as the host in use reported it last
     bool was_established_ = false;
     time_point lost_at_{};      // start of the time without an established session
     bool has_gap_ = false;      // an update does not follow the applied version
--- /dev/null
+++ b/src/connection/control_contact.cpp
@@ -0,0 +1,32 @@
+#include "toucanusher/connection/control_contact.h"
+
+#include <utility>
+
+namespace toucanusher {
+
+control_contact::control_contact(control_contact_options options, control_host_selector selector,
+                                 time_point now)
+    : selector_(std::move(selector)), monitor_(options.monitor, now) {}
+
+contact_step control_contact::on_update(time_point now, state_update const& update) {
+    // A sender without state that names no other host counts as unresponsive.
+    if (update.directory_only)
+        return selector_.follow_directory(update.control_hosts) ? contact_step::connect
+                                                                : contact_step::keep;
+    selector_.set_directory(update.control_hosts);
+    leader_contact_age_ = update.leader_contact_age;
+    monitor_.on_received(now);
+    return contact_step::keep;
+}
+
+contact_step control_contact::on_tick(time_point now) {
+    link_step const step = monitor_.on_tick(now);
+    if (step == link_step::keep)
+        return contact_step::keep;
+    if (step == link_step::next_peer)
+        selector_.switch_host();
+    leader_contact_age_.reset();
+    return contact_step::connect;
+}
+
+} // namespace toucanusher
