--- /dev/null
+++ b/tests/control_contact_test.cpp
@@ -0,0 +1,62 @@
+// Tests which control host a daemon stays with, from what the hosts answer.
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "toucanusher/connection/control_contact.h"
+
+namespace toucanusher {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr endpoint a{1, 7000};
+constexpr endpoint b{2, 7000};
+
+// A daemon whose heartbeats every host answers, with the age of its contact with a leader.
+struct answered_daemon {
+    time_point now{std::chrono::hours{1}};
+    control_contact contact{{}, {{a, b}, 0}, now};
+
+    // Returns the hosts that were in use during `period`.
+    std::set<endpoint> run(duration period, std::optional<duration> leader_contact_age) {
+        std::set<endpoint> used;
+        for (time_point const end = now + period; now < end; now += milliseconds{50}) {
+            state_update update;
+            update.leader_contact_age = leader_contact_age;
+            (void)contact.on_update(now, update);
+            (void)contact.on_tick(now);
+            used.insert(contact.host());
+        }
+        return used;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a daemon stays with a control host that has contact with a leader") {
+    answered_daemon daemon;
+    CHECK(daemon.run(seconds{20}, milliseconds{100}) == std::set<endpoint>{a});
+}
+
+// On gkp-westland every daemon stayed with a control host that had lost its disk.
+TEST_CASE("a daemon leaves a control host that knows no leader") {
+    answered_daemon daemon;
+    CHECK(daemon.run(seconds{4}, std::nullopt) == std::set<endpoint>{a, b});
+}
+
+TEST_CASE("a daemon leaves a control host that lost its leader") {
+    answered_daemon daemon;
+    CHECK(daemon.run(seconds{4}, milliseconds{100}) == std::set<endpoint>{a});
+    CHECK(daemon.run(seconds{4}, seconds{5}) == std::set<endpoint>{a, b});
+}
+
+TEST_CASE("a daemon outlasts an election") {
+    answered_daemon daemon;
+    (void)daemon.run(seconds{4}, milliseconds{100});
+    CHECK(daemon.run(milliseconds{1200}, std::nullopt) == std::set<endpoint>{a});
+    CHECK(daemon.run(seconds{4}, milliseconds{100}) == std::set<endpoint>{a});
+}
+
+} // namespace toucanusher
--- a/tests/host_model.cpp
+++ b/tests/host_model.cpp
@@ -56,6 +56,8 @@
     }
     for (auto const& m : machines_)
         start(*m, m->listen_endpoint == seeds_.front());
+    for (std::uint32_t i = 0; i < options_.redirectors + options_.daemons; ++i)
+        followers_.emplace_back(endpoint{500 + i, 7000}, i < options_.redirectors);
 }
 
 std::optional<std::string> host_model::run() {
@@ -65,18 +67,32 @@
     time_point const end = clock_.now() + options_.fault_period;
     while (clock_.now() < end && !violation_)
         step(true);
+    if (!followers_.empty())
+        lose_all_power();
+    settle();
+    trace_hosts();
+    return violation_;
+}
+
+void host_model::settle() {
     time_point const settle_end = clock_.now() + settle_period;
     std::uint64_t const latest_before_settling = latest_number_;
     while (clock_.now() < settle_end && !violation_) {
         only_reads_ = settle_end - clock_.now() < read_only_period;
         step(false);
     }
-    trace_hosts();
     if (!violation_ && last_read_ < accepted_)
         violation_ = "the last read is older than the last accepted configuration";
     if (!violation_ && accepted_ < latest_before_settling)
         violation_ = "no configuration was accepted after the last fault ended";
-    return violation_;
+    if (!violation_)
+        check_followers();
+}
+
+void host_model::check_followers() {
+    for (model_follower const& follower : followers_)
+        if (!follower.has_session())
+            violation_ = to_string(follower.address()) + " has not found control";
 }
 
 void host_model::step(bool with_faults) {
@@ -85,6 +101,8 @@
         inject_faults();
     for (auto const& m : machines_)
         tick(*m);
+    for (model_follower& follower : followers_)
+        tick(follower);
     deliver_messages();
     send_calls();
 }
@@ -100,6 +118,21 @@
         sync(m);
 }
 
+void host_model::tick(model_follower& follower) {
+    time_point const now = clock_.now();
+    if (!follower.is_running() && now >= follower.restart_at())
+        follower.start(now, seeds_, random_below(seeds_.size()));
+    if (!follower.is_running())
+        return;
+    if (auto const host = follower.on_tick(now)) {
+        heartbeat content;
+        content.name = to_string(follower.address());
+        content.role = follower.redirects() ? daemon_role::control : daemon_role::balancer;
+        content.follows_state = false;
+        send({now, follower.address(), {}, *host, std::move(content)});
+    }
+}
+
 void host_model::deliver_messages() {
     time_point const now = clock_.now();
     std::vector<pending_message> due_messages;
@@ -110,17 +143,48 @@
         return true;
     });
     for (pending_message& item : due_messages) {
-        machine* const to = machine_at(item.to);
-        machine* const from = machine_at(item.from);
-        if (to == nullptr || from == nullptr || !to->host || !connected(*from, *to))
-            continue;
-        if (now < to->frozen_until) {
-            item.due_at = to->frozen_until;
-            pending_messages_.push_back(std::move(item));
-            continue;
-        }
-        to->host->on_host_contact(now, item.from_id, item.from);
-        apply_output(*to, to->host->on_host_message(now, item.from_id, std::move(item.message)));
+        if (machine* const to = machine_at(item.to))
+            deliver(*to, std::move(item));
+        else if (model_follower* const follower = follower_at(item.to))
+            deliver(*follower, item);
+    }
+}
+
+void host_model::deliver(machine& to, pending_message item) {
+    time_point const now = clock_.now();
+    machine const* const from = machine_at(item.from);
+    model_follower const* const follower = follower_at(item.from);
+    bool const reachable = from != nullptr ? connected(*from, to) : now >= to.isolated_until;
+    if (!to.host || !reachable || (from == nullptr && follower == nullptr))
+        return;
+    if (now < to.frozen_until) {
+        item.due_at = to.frozen_until;
+        pending_messages_.push_back(std::move(item));
+        return;
+    }
+    if (from != nullptr) {
+        to.host->on_host_contact(now, item.from_id, item.from);
+        apply_output(to, to.host->on_host_message(now, item.from_id, std::move(item.message)));
+    } else if (auto const* content = std::get_if<heartbeat>(&item.message)) {
+        apply_output(to, to.host->on_heartbeat(now, client_id{item.from.address}, *content));
+    } else if (auto const* directory = std::get_if<join_answer>(&item.message)) {
+        to.host->add_known_hosts(directory->hosts);
+    }
+}
+
+void host_model::deliver(model_follower& to, pending_message const& item) {
+    time_point const now = clock_.now();
+    if (!to.is_running())
+        return;
+    if (auto const* update = std::get_if<state_update>(&item.message)) {
+        to.on_update(now, item.from, *update);
+    } else if (to.redirects() && std::holds_alternative<heartbeat>(item.message)) {
+        state_update answer;
+        answer.directory_only = true;
+        answer.control_hosts = to.directory();
+        send({now, to.address(), {}, item.from, std::move(answer)});
+    } else if (to.redirects()) {
+        send({now, to.address(), {}, item.from, join_answer{to.address(), to.directory()}});
     }
 }
 
@@ -139,6 +203,8 @@
     bool const may_lose_disk = count_faulty() < options_.tolerated_losses;
     if (may_lose_disk && now >= next_disk_loss_at_ && chance(0.004)) {
         lose_disk(victim);
+    } else if (!followers_.empty() && chance(0.001)) {
+        exchange_seeds();
     } else if (chance(0.0007)) {
         crash(victim, milliseconds{100 + random_below(3000)});
     } else if (chance(0.0007)) {
@@ -165,7 +231,9 @@
         m.id = {};
     // A host with a new disk may also have a new address.
     if (chance(0.3)) {
+        endpoint const previous = m.listen_endpoint;
         m.listen_endpoint.address += 100;
+        replace_seed(previous, m.listen_endpoint);
         trace("the host restarts at " + to_string(m.listen_endpoint));
     }
     next_disk_loss_at_ = clock_.now() + seconds{9};
@@ -175,6 +243,44 @@
                 crash(*other, milliseconds{100 + random_below(1000)});
 }
 
+// Names three control processes, with or without a disk, as seeds in every settings file.
+void host_model::exchange_seeds() {
+    std::vector<endpoint> candidates;
+    for (auto const& m : machines_)
+        candidates.push_back(m->listen_endpoint);
+    for (model_follower const& follower : followers_)
+        if (follower.redirects())
+            candidates.push_back(follower.address());
+    for (endpoint& seed : seeds_) {
+        std::size_t const at = random_below(candidates.size());
+        seed = candidates[at];
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(at));
+        trace("new seed " + to_string(seed));
+    }
+    for (auto const& m : machines_)
+        if (m->host)
+            m->host->set_seeds(seeds_);
+    for (model_follower& follower : followers_)
+        follower.set_seeds(seeds_);
+}
+
+void host_model::replace_seed(endpoint from, endpoint to) {
+    if (!followers_.empty())
+        std::replace(seeds_.begin(), seeds_.end(), from, to);
+}
+
+// Every process restarts without memory; one host may lose its disk as well.
+void host_model::lose_all_power() {
+    exchange_seeds();
+    if (count_faulty() < options_.tolerated_losses && chance(0.5))
+        lose_disk(*machines_[random_below(machines_.size())]);
+    trace("all power is lost");
+    for (auto const& m : machines_)
+        crash(*m, milliseconds{1000 + random_below(10)});
+    for (model_follower& follower : followers_)
+        follower.stop(clock_.now() + milliseconds{1000 + random_below(10)});
+}
+
 void host_model::crash(machine& m, duration down) {
     m.host.reset();
     m.unsynced.clear();
@@ -245,6 +351,8 @@
             send(m, *destination, std::move(out.message));
     for (send_to_address& out : output.to_addresses)
         send(m, out.address, std::move(out.message));
+    for (send_to_client& out : output.to_clients)
+        send(m, {static_cast<std::uint32_t>(out.client), 7000}, std::move(out.message));
     for (configuration_answer const& answer : output.configurations)
         on_answer(answer);
 }
@@ -268,11 +376,14 @@
 }
 
 void host_model::send(machine const& from, endpoint to, control_message message) {
+    send({clock_.now(), from.listen_endpoint, from.id, to, std::move(message)});
+}
+
+void host_model::send(pending_message message) {
     if (chance(0.02))
         return;
-    duration const delay = milliseconds{chance(0.02) ? random_below(800) : random_below(20)};
-    pending_messages_.push_back(
-        {clock_.now() + delay, from.listen_endpoint, from.id, to, std::move(message)});
+    message.due_at += milliseconds{chance(0.02) ? random_below(800) : random_below(20)};
+    pending_messages_.push_back(std::move(message));
 }
 
 host_model::machine* host_model::machine_at(endpoint listen_endpoint) {
@@ -282,6 +393,13 @@
     return nullptr;
 }
 
+model_follower* host_model::follower_at(endpoint address) {
+    for (model_follower& follower : followers_)
+        if (follower.address() == address)
+            return &follower;
+    return nullptr;
+}
+
 bool host_model::connected(machine const& a, machine const& b) const {
     return clock_.now() >= a.isolated_until && clock_.now() >= b.isolated_until;
 }
--- a/tests/host_model.h
+++ b/tests/host_model.h
@@ -1,6 +1,8 @@
 // Simulates control hosts that discover each other, join and are replaced automatically while
 // operators write configurations. Runs the control decisions with the real codec, but without
 // sockets, threads or disks. The simulation crashes, freezes and isolates hosts and erases disks.
+// Optionally, daemons and redirectors follow the hosts; each run then exchanges the seeds and ends
+// with a loss of all power.
 #pragma once
 
 #include <cstdint>
@@ -11,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/model_follower.h"
 #include "toucanusher/process/random.h"
 #include "toucanusher/version/control_host.h"
 
@@ -20,6 +23,8 @@
     std::uint32_t machines = 4;
     std::uint32_t tolerated_losses = 1;
     duration fault_period = std::chrono::seconds{40};
+    std::uint32_t redirectors = 0; // control processes without a disk
+    std::uint32_t daemons = 0;
     bool keep_identity = false; // injected fault: a host that lost its disk votes under its old id
     std::function<void(std::string const&)> trace;
 };
@@ -60,8 +65,16 @@
     };
 
     void step(bool with_faults);
+    void settle();
+    void check_followers();
     void tick(machine& m);
+    void tick(model_follower& follower);
     void deliver_messages();
+    void deliver(machine& to, pending_message item);
+    void deliver(model_follower& to, pending_message const& item);
+    void exchange_seeds();
+    void replace_seed(endpoint from, endpoint to);
+    void lose_all_power();
     void inject_faults();
     void lose_disk(machine& m);
     void crash(machine& m, duration down);
@@ -71,7 +84,9 @@
     void apply_output(machine& m, control_output output);
     void on_answer(configuration_answer const& answer);
     void send(machine const& from, endpoint to, control_message message);
+    void send(pending_message message);
     machine* machine_at(endpoint listen_endpoint);
+    model_follower* follower_at(endpoint address);
     [[nodiscard]] bool connected(machine const& a, machine const& b) const;
     [[nodiscard]] std::size_t count_faulty() const;
     [[nodiscard]] bool chance(double probability) {
@@ -85,6 +100,7 @@
     random_source random_;
     manual_clock clock_;
     std::vector<std::unique_ptr<machine>> machines_;
+    std::vector<model_follower> followers_;
     std::vector<endpoint> seeds_;
     std::vector<pending_message> pending_messages_;
     std::map<std::uint64_t, pending_call> calls_;
--- /dev/null
+++ b/tests/model_follower.cpp
@@ -0,0 +1,57 @@
+#include "tests/model_follower.h"
+
+#include <utility>
+
+namespace toucanusher::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration heartbeat_interval = std::chrono::seconds{1};
+constexpr duration first_heartbeat_interval = milliseconds{150};
+// Longer than the age of a contact between two heartbeats of the log, shorter than an outage.
+constexpr duration recent_contact = milliseconds{800};
+
+} // namespace
+
+void model_follower::start(time_point now, std::vector<endpoint> seeds, std::size_t first_seed) {
+    contact_.emplace(control_contact_options{}, control_host_selector{std::move(seeds), first_seed},
+                     now);
+    next_heartbeat_ = now;
+}
+
+void model_follower::stop(time_point restart_at) {
+    contact_.reset();
+    restart_at_ = restart_at;
+}
+
+void model_follower::set_seeds(std::vector<endpoint> const& seeds) {
+    if (contact_)
+        contact_->set_seeds(seeds);
+}
+
+std::optional<endpoint> model_follower::on_tick(time_point now) {
+    apply(now, contact_->on_tick(now));
+    if (now < next_heartbeat_)
+        return std::nullopt;
+    next_heartbeat_ = now + (has_session() ? heartbeat_interval : first_heartbeat_interval);
+    return contact_->host();
+}
+
+void model_follower::on_update(time_point now, endpoint from, state_update const& update) {
+    if (from == contact_->host())
+        apply(now, contact_->on_update(now, update));
+}
+
+bool model_follower::has_session() const {
+    return contact_ && contact_->answered() && contact_->leader_contact_age() < recent_contact &&
+           contact_->leader_contact_age().has_value();
+}
+
+void model_follower::apply(time_point now, contact_step step) {
+    if (step == contact_step::connect)
+        next_heartbeat_ = now;
+}
+
+} // namespace toucanusher::tests
--- /dev/null
+++ b/tests/model_follower.h
@@ -0,0 +1,42 @@
+// A simulated process that follows control without being a control host: a daemon, or a control
+// process without a disk, which redirects. Runs the decisions of the control session.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "toucanusher/connection/control_contact.h"
+
+namespace toucanusher::tests {
+
+class model_follower {
+  public:
+    model_follower(endpoint address, bool redirects) : address_(address), redirects_(redirects) {}
+
+    void start(time_point now, std::vector<endpoint> seeds, std::size_t first_seed);
+    void stop(time_point restart_at);
+    void set_seeds(std::vector<endpoint> const& seeds);
+
+    [[nodiscard]] endpoint address() const { return address_; }
+    [[nodiscard]] bool redirects() const { return redirects_; }
+    [[nodiscard]] bool is_running() const { return contact_.has_value(); }
+    [[nodiscard]] time_point restart_at() const { return restart_at_; }
+    // Returns the host to which a heartbeat is due, if any.
+    [[nodiscard]] std::optional<endpoint> on_tick(time_point now);
+    void on_update(time_point now, endpoint from, state_update const& update);
+    // Returns the control hosts that this process names to others.
+    [[nodiscard]] std::vector<endpoint> directory() const { return contact_->directory(); }
+    // Returns whether the host in use answers and is in contact with a leader.
+    [[nodiscard]] bool has_session() const;
+
+  private:
+    void apply(time_point now, contact_step step);
+
+    endpoint address_;
+    bool redirects_;
+    std::optional<control_contact> contact_; // empty while the process is down
+    time_point restart_at_{};
+    time_point next_heartbeat_{};
+};
+
+} // namespace toucanusher::tests
