Let a control host without a leader ask the hosts that contact it

Cause: the leader sends to the address of the lost member for as long as it is one, but a host without a leader asks only seeds, learnt addresses and its own log's members. With an empty disk, and seeds that know nothing, nobody is left to ask, although the leader's messages arrive ten times a second.

Evidence:: delft-1 (10.4.0.25) asks the redirectors 46 times and gets an empty directory each time; honselersdijk-1 leads meanwhile.

Ruled out: the host's identity (it is new, as intended), and quorum (three of four hosts hold the log).

Change: host_directory::known_addresses includes the addresses of hosts that have made contact.

--- a/src/process/host_directory.cpp
+++ b/src/process/host_directory.cpp
@@ -35,6 +35,8 @@
                                                    log_members const& members) const {
     std::set<endpoint> result(seeds_.begin(), seeds_.end());
     result.insert(learned_.begin(), learned_.end());
+    for (auto const& [id, known] : contacts_)
+        result.insert(known.address);
     for (auto const& [id, address] : members.addresses)
         result.insert(address);
     result.erase(self);
