Announce control hosts to seeds that are not members

Cause: such a process (a redirector) keeps the control hosts in memory only and learns them by asking its own seeds. After a restart of all of them each asks the others, and none knows anything. The control hosts do know where they are and have a leader, but speak only to members, unless they search themselves; and a redirector that a control host contacts does not remember it.

Evidence:: a leader 0.17 s after power is back; daemons ask three seeds in turn with `known_hosts=0` to the end; `directory_sent what="empty"` only.

Ruled out: lost packets (each seed answers at once), quorum, a second founding.

Weighed: redirectors that ask all peers (they have none after a restart); daemons that store what they learnt (no disk); a list of redirectors in the replicated state (needs a new command; covers settings whose seeds no control host has, which files that are rewritten at every start do not need).

Change: a control host in contact with a leader sends its directory to each of its seeds that is not a member, twice a second, about 150 bytes each; members get nothing. A redirector without a session connects to an announced host, and names the hosts to others once one has answered. A directory leads straight to one of its hosts, spread over the daemons, instead of through the other seeds.

--- a/include/toucanusher/connection/control_contact.h
+++ b/include/toucanusher/connection/control_contact.h
@@ -41,9 +41,14 @@
 
     void set_seeds(std::vector<endpoint> seeds) { selector_.set_seeds(std::move(seeds)); }
     [[nodiscard]] contact_step on_update(time_point now, state_update const& update);
+    // Handles control hosts that another process named, unasked. They are not followed while
+    // host() answers, or if it is one of them.
+    [[nodiscard]] contact_step on_announcement(time_point now, std::vector<endpoint> hosts);
     [[nodiscard]] contact_step on_tick(time_point now);
 
   private:
+    contact_step follow_directory(time_point now, std::vector<endpoint> hosts);
+
     control_host_selector selector_;
     link_monitor monitor_;
     std::optional<duration> leader_contact_age_; // empty until host() has answered
--- a/include/toucanusher/connection/link_monitor.h
+++ b/include/toucanusher/connection/link_monitor.h
@@ -29,6 +29,13 @@
         answered_ = true;
     }
 
+    // Starts over, after the caller has replaced the link.
+    void restart(time_point now) {
+        waiting_since_ = now;
+        replacements_ = 0;
+        answered_ = false;
+    }
+
     link_step on_tick(time_point now) {
         duration const timeout =
             answered_ ? options_.receive_timeout
--- a/include/toucanusher/process/host_directory.h
+++ b/include/toucanusher/process/host_directory.h
@@ -20,6 +20,7 @@
     // add_addresses those that other hosts report.
     void set_seeds(std::vector<endpoint> seeds);
     void add_addresses(std::vector<endpoint> const& hosts);
+    [[nodiscard]] std::vector<endpoint> const& seeds() const { return seeds_; }
     // Sets the last contact of every member to `now`, so that a new leader measures contacts from
     // its election.
     void reset_contacts(time_point now, log_members const& members);
--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -45,6 +45,9 @@
     duration join_interval = std::chrono::milliseconds{250}; // between join requests
     duration plan_interval = std::chrono::milliseconds{100}; // between evaluations of the host plan
     duration leaderless_join_delay = std::chrono::milliseconds{1200}; // longer than an election
+    // Between announcements to seeds that are not members. Short, since daemons whose seeds have
+    // all restarted find control only after one.
+    duration announcement_interval = std::chrono::milliseconds{500};
     // A caller tries another host after one second, so the answer must be sent before.
     duration configuration_timeout = std::chrono::milliseconds{850};
     // A new leader accepts no configuration before the log has the planned number of voters or
@@ -155,7 +158,9 @@
     [[nodiscard]] bool accepts_configurations(time_point now) const;
     configuration_answer redirect_to_leader(std::uint64_t call) const;
     void propose_host_plan(time_point now);
+    [[nodiscard]] bool has_leader_contact(time_point now) const;
     void request_join(time_point now);
+    void announce_hosts(time_point now);
     void on_join_request(time_point now, host_id from, join_request const& request);
     [[nodiscard]] std::vector<endpoint> host_addresses() const;
     void answer_reads(time_point now);
@@ -193,6 +198,7 @@
     bool was_leader_ = false;
     time_point leader_since_{};
     time_point next_join_at_{};
+    time_point next_announcement_at_{};
     time_point next_plan_at_{};
     time_point next_report_at_{};
     time_point next_push_at_{};
--- a/include/toucanusher/version/control_host_selector.h
+++ b/include/toucanusher/version/control_host_selector.h
@@ -14,8 +14,8 @@
 
 class control_host_selector {
   public:
-    // `seeds` must not be empty. `start` selects the first host, modulo the number of seeds, so
-    // that daemons spread over the seeds.
+    // `seeds` must not be empty. `start` selects the first seed and the first host of a directory,
+    // modulo their number, so that daemons spread over them.
     control_host_selector(std::vector<endpoint> seeds, std::size_t start);
 
     [[nodiscard]] endpoint current() const { return hosts_[current_]; }
@@ -27,14 +27,14 @@
     void set_directory(std::vector<endpoint> hosts);
     // Selects the next host because the current one does not answer.
     void switch_host();
-    // Selects a host of the directory sent by the current host, which keeps no state itself.
-    // Returns false, and changes nothing, if the directory names no host but the current one; the
-    // caller then treats the current host as unresponsive.
+    // Selects a host of the directory, other than the current one. Returns false, and changes
+    // nothing, if it names no other.
     [[nodiscard]] bool follow_directory(std::vector<endpoint> hosts);
 
   private:
     void rebuild();
 
+    std::size_t start_;
     std::vector<endpoint> seeds_;
     std::vector<endpoint> directory_;
     std::vector<endpoint> hosts_; // never empty; contains the current host
--- a/include/toucanusher/version/control_message.h
+++ b/include/toucanusher/version/control_message.h
@@ -201,8 +201,8 @@
     host_id host{};
     endpoint address;
 };
-// Answers a join request with the host directory of the receiver. A receiver that is not a control
-// host sends it without wrapping it in a host_message.
+// The host directory of the sender. Answers a join request, or announces the control hosts to a
+// seed. A sender that is not a control host does not wrap it in a host_message.
 struct join_answer {
     endpoint sender;             // link address
     std::vector<endpoint> hosts; // link addresses of control hosts
--- a/programs/control_redirector.cpp
+++ b/programs/control_redirector.cpp
@@ -157,7 +157,7 @@
         else if (std::holds_alternative<heartbeat>(*message))
             answer_daemon(peer);
         else if (auto const* host = std::get_if<host_message>(&*message))
-            answer_host(host->address);
+            on_host_message(*host);
         else
             context_.counters.count_refusal("control", "unexpected_message");
     }
@@ -171,7 +171,16 @@
             context_.counters.count_refusal("control", "link_send_failed");
     }
 
-    // A control host that sends to this address searches for the others.
+    // A control host that sends to this address announces the others or searches for them.
+    void on_host_message(host_message const& received) {
+        auto const content = decode_control_message(received.content);
+        if (!content.ok())
+            context_.counters.count_refusal("control", "malformed");
+        else if (auto const* announced = std::get_if<join_answer>(&*content))
+            session_->add_announced_hosts(announced->hosts);
+        answer_host(received.address);
+    }
+
     void answer_host(endpoint address) {
         time_point const now = context_.clock.now();
         join_answer const directory{config_.listen, control_hosts_.hosts()};
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -60,6 +60,11 @@
         context_.counters.count_refusal("control", "ring_full");
 }
 
+void control_session::add_announced_hosts(std::vector<endpoint> hosts) {
+    if (!events_.try_push(host_announcement{std::move(hosts)}))
+        context_.counters.count_refusal("control", "ring_full");
+}
+
 void control_session::close() {
     events_.close();
     if (duty_)
@@ -89,6 +94,8 @@
             on_bytes(context_.clock.now(), *bytes);
         else if (auto* seeds = std::get_if<seed_update>(&*event))
             contact_.set_seeds(std::move(seeds->links));
+        else if (auto* announced = std::get_if<host_announcement>(&*event))
+            on_announcement(context_.clock.now(), std::move(announced->hosts));
         else
             next_heartbeat = context_.clock.now();
         if (std::exchange(link_changed_, false))
@@ -178,13 +185,8 @@
         return;
     }
     endpoint const asked = contact_.host();
-    if (contact_.on_update(now, *update) == contact_step::connect) {
-        context_.events->rate_limited_warning(event_line("control_elsewhere")
-                                                  .add("asked", to_string(asked))
-                                                  .add("next", to_string(contact_.host())));
-        connect();
-        link_changed_ = true;
-    }
+    if (contact_.on_update(now, *update) == contact_step::connect)
+        follow_directory(asked);
     if (update->directory_only)
         return;
     version_number const before = follower_.version();
@@ -208,6 +210,21 @@
               contact_.directory()});
 }
 
+void control_session::on_announcement(time_point now, std::vector<endpoint> hosts) {
+    endpoint const asked = contact_.host();
+    if (contact_.on_announcement(now, std::move(hosts)) == contact_step::connect)
+        follow_directory(asked);
+}
+
+// Connects to the host that the contact has taken from a directory, instead of the one asked.
+void control_session::follow_directory(endpoint asked) {
+    context_.events->rate_limited_warning(event_line("control_elsewhere")
+                                              .add("asked", to_string(asked))
+                                              .add("next", to_string(contact_.host())));
+    connect();
+    link_changed_ = true;
+}
+
 // Returns true if the link was replaced.
 bool control_session::leave_unresponsive_host(time_point now) {
     endpoint const asked = contact_.host();
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -48,6 +48,8 @@
     [[nodiscard]] std::chrono::milliseconds time_since_contact() const;
     // Replaces the seeds: addresses that are tried besides the hosts that control names.
     void set_seeds(std::vector<endpoint> seeds);
+    // Adds control hosts that announced themselves to this process.
+    void add_announced_hosts(std::vector<endpoint> hosts);
     void close();
 
   private:
@@ -55,8 +57,11 @@
     struct seed_update {
         std::vector<endpoint> links;
     };
-    // Sealed bytes from control, a heartbeat to send at once, or new seeds.
-    using event = std::variant<std::string, heartbeat_request, seed_update>;
+    struct host_announcement {
+        std::vector<endpoint> hosts;
+    };
+    // Sealed bytes from control, a heartbeat to send at once, new seeds or announced hosts.
+    using event = std::variant<std::string, heartbeat_request, seed_update, host_announcement>;
 
     void run();
     [[nodiscard]] bool is_established() const;
@@ -64,6 +69,8 @@
     void connect();
     void send_heartbeat(time_point now);
     void on_bytes(time_point now, std::string const& bytes);
+    void on_announcement(time_point now, std::vector<endpoint> hosts);
+    void follow_directory(endpoint asked);
     bool leave_unresponsive_host(time_point now);
     static control_host_selector make_host_selector(daemon_config const& config);
 
--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -55,6 +55,7 @@
     }
     if (options_.automatic_hosts) {
         request_join(now);
+        announce_hosts(now);
         propose_host_plan(now);
     }
     expire_configuration_reads(now);
--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -1,6 +1,7 @@
 // The part of control_host that serves configurations and maintains the set of control hosts.
 #include "toucanusher/version/control_host.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace toucanusher {
@@ -97,11 +98,13 @@
         apply_log_output(now, std::move(output));
 }
 
+bool control_host::has_leader_contact(time_point now) const {
+    auto const age = log_.leader_contact_age(now);
+    return log_.role() == log_role::leader || (age && *age < options_.leaderless_join_delay);
+}
+
 void control_host::request_join(time_point now) {
-    auto const contact_age = log_.leader_contact_age(now);
-    bool const has_leader = log_.role() == log_role::leader ||
-                            (contact_age && *contact_age < options_.leaderless_join_delay);
-    if (has_leader || now < next_join_at_)
+    if (has_leader_contact(now) || now < next_join_at_)
         return;
     next_join_at_ = now + options_.join_interval;
     for (endpoint const& address :
@@ -110,6 +113,19 @@
             {address, join_request{options_.log.self, options_.self_address}});
 }
 
+// A seed that is not a member forgets the control hosts when it restarts. Daemons may have no other
+// seed.
+void control_host::announce_hosts(time_point now) {
+    if (!has_leader_contact(now) || now < next_announcement_at_)
+        return;
+    next_announcement_at_ = now + options_.announcement_interval;
+    std::vector<endpoint> const hosts = host_addresses();
+    for (endpoint const& seed : directory_.seeds())
+        if (seed != options_.self_address &&
+            std::find(hosts.begin(), hosts.end(), seed) == hosts.end())
+            output_.to_addresses.push_back({seed, join_answer{options_.self_address, hosts}});
+}
+
 void control_host::on_join_request(time_point now, host_id from, join_request const& request) {
     if (log_.role() == log_role::leader)
         directory_.record_contact(now, request.host, request.address);
--- a/src/version/control_host_selector.cpp
+++ b/src/version/control_host_selector.cpp
@@ -6,7 +6,7 @@
 namespace toucanusher {
 
 control_host_selector::control_host_selector(std::vector<endpoint> seeds, std::size_t start)
-    : seeds_(std::move(seeds)), hosts_(seeds_), current_(start % hosts_.size()) {}
+    : start_(start), seeds_(std::move(seeds)), hosts_(seeds_), current_(start % hosts_.size()) {}
 
 void control_host_selector::set_seeds(std::vector<endpoint> seeds) {
     seeds_ = std::move(seeds);
@@ -25,12 +25,15 @@
 }
 
 bool control_host_selector::follow_directory(std::vector<endpoint> hosts) {
-    bool const names_other_host = std::any_of(
-        hosts.begin(), hosts.end(), [&](endpoint const& host) { return host != current(); });
-    if (!names_other_host)
+    std::vector<endpoint> others = hosts;
+    std::erase(others, current());
+    if (others.empty())
         return false;
     directory_ = std::move(hosts);
-    switch_host();
+    rebuild();
+    endpoint const next = others[start_ % others.size()];
+    current_ =
+        static_cast<std::size_t>(std::find(hosts_.begin(), hosts_.end(), next) - hosts_.begin());
     return true;
 }
 
--- a/tests/control_contact_test.cpp
+++ b/tests/control_contact_test.cpp
@@ -59,4 +59,21 @@
     CHECK(daemon.run(seconds{4}, milliseconds{100}) == std::set<endpoint>{a});
 }
 
+TEST_CASE("a process without control follows an announced host") {
+    time_point const now{std::chrono::hours{1}};
+    control_contact contact({}, {{a}, 0}, now);
+    CHECK(contact.on_announcement(now, {b}) == contact_step::connect);
+    CHECK(contact.host() == b);
+    CHECK(contact.on_announcement(now, {b}) == contact_step::keep);
+    CHECK(contact.on_tick(now + milliseconds{340}) == contact_step::keep);
+    CHECK(contact.on_tick(now + milliseconds{350}) == contact_step::connect);
+}
+
+TEST_CASE("an announcement does not interrupt a working session") {
+    answered_daemon daemon;
+    (void)daemon.run(seconds{1}, milliseconds{100});
+    CHECK(daemon.contact.on_announcement(daemon.now, {b}) == contact_step::keep);
+    CHECK(daemon.contact.host() == a);
+}
+
 } // namespace toucanusher
--- a/tests/control_host_selector_test.cpp
+++ b/tests/control_host_selector_test.cpp
@@ -75,6 +75,13 @@
     CHECK(tried == std::set<endpoint>{a, b});
 }
 
+// With several seeds that keep no state, the next seed would name the same hosts again.
+TEST_CASE("a host of the directory is selected before other seeds") {
+    control_host_selector contacts({stateless, a, b}, 0);
+    REQUIRE(contacts.follow_directory({c, d}));
+    CHECK(contacts.current() == c);
+}
+
 // Guards against a slow failover after the loss of the current host. That host has answered before,
 // so its timeout allows for a short stall; hosts that never answered get a shorter timeout.
 TEST_CASE("a host that has answered gets a longer timeout than one that never answered") {
--- a/tests/host_model.cpp
+++ b/tests/host_model.cpp
@@ -184,6 +184,8 @@
         answer.control_hosts = to.directory();
         send({now, to.address(), {}, item.from, std::move(answer)});
     } else if (to.redirects()) {
+        if (auto const* announced = std::get_if<join_answer>(&item.message))
+            to.on_announcement(now, announced->hosts);
         send({now, to.address(), {}, item.from, join_answer{to.address(), to.directory()}});
     }
 }
--- a/tests/model_follower.cpp
+++ b/tests/model_follower.cpp
@@ -23,6 +23,7 @@
 
 void model_follower::stop(time_point restart_at) {
     contact_.reset();
+    directory_.clear();
     restart_at_ = restart_at;
 }
 
@@ -40,8 +41,15 @@
 }
 
 void model_follower::on_update(time_point now, endpoint from, state_update const& update) {
-    if (from == contact_->host())
-        apply(now, contact_->on_update(now, update));
+    if (from != contact_->host())
+        return;
+    apply(now, contact_->on_update(now, update));
+    if (!update.directory_only)
+        directory_ = contact_->directory();
+}
+
+void model_follower::on_announcement(time_point now, std::vector<endpoint> const& hosts) {
+    apply(now, contact_->on_announcement(now, hosts));
 }
 
 bool model_follower::has_session() const {
--- a/tests/model_follower.h
+++ b/tests/model_follower.h
@@ -24,8 +24,9 @@
     // Returns the host to which a heartbeat is due, if any.
     [[nodiscard]] std::optional<endpoint> on_tick(time_point now);
     void on_update(time_point now, endpoint from, state_update const& update);
+    void on_announcement(time_point now, std::vector<endpoint> const& hosts);
     // Returns the control hosts that this process names to others.
-    [[nodiscard]] std::vector<endpoint> directory() const { return contact_->directory(); }
+    [[nodiscard]] std::vector<endpoint> const& directory() const { return directory_; }
     // Returns whether the host in use answers and is in contact with a leader.
     [[nodiscard]] bool has_session() const;
 
@@ -35,6 +36,7 @@
     endpoint address_;
     bool redirects_;
     std::optional<control_contact> contact_; // empty while the process is down
+    std::vector<endpoint> directory_;        // confirmed by the answer of a control host
     time_point restart_at_{};
     time_point next_heartbeat_{};
 };
