--- a/tests/host_model.cpp
+++ b/tests/host_model.cpp
@@ -17,6 +17,8 @@
     seconds{4}; // a host counts as faulty for this long after its restart or reconnection
 constexpr duration settle_period = seconds{12};
 constexpr duration formation_period = seconds{4};
+// A follower may be changing hosts after lost messages when a run ends.
+constexpr duration session_gap = seconds{2};
 constexpr duration read_only_period = seconds{3};
 
 configuration make_configuration(std::uint64_t number) {
@@ -91,7 +93,7 @@
 
 void host_model::check_followers() {
     for (model_follower const& follower : followers_)
-        if (!follower.has_session())
+        if (!follower.had_session_since(clock_.now() - session_gap))
             violation_ = to_string(follower.address()) + " has not found control";
 }
 
@@ -333,16 +335,29 @@
     machine& to = *machines_[random_below(machines_.size())];
     if (!to.host || now < to.frozen_until)
         return;
-    std::uint64_t const call = next_call_++;
     bool const is_read = only_reads_ || chance(0.5);
     // Most writes repeat the latest configuration, as a client does after a lost answer.
     if (!is_read && chance(0.3))
         latest_number_ += 1 + random_below(3);
-    calls_[call] = {is_read ? 0 : latest_number_, accepted_};
-    if (is_read)
-        apply_output(to, to.host->on_configuration_read(now, call));
+    send_call(to, {is_read ? 0 : latest_number_, accepted_});
+}
+
+void host_model::send_call(machine& to, pending_call const& pending) {
+    std::uint64_t const call = next_call_++;
+    calls_[call] = pending;
+    if (pending.number == 0)
+        apply_output(to, to.host->on_configuration_read(clock_.now(), call));
     else
-        apply_output(to, to.host->on_configuration(now, call, make_configuration(latest_number_)));
+        apply_output(
+            to, to.host->on_configuration(clock_.now(), call, make_configuration(pending.number)));
+}
+
+// Sends a call again to the host that the answer names, as operators do, but only a few times.
+void host_model::follow_redirect(endpoint leader, pending_call call) {
+    machine* const to = machine_at(leader);
+    if (to == nullptr || !to->host || clock_.now() < to->frozen_until || ++call.redirects > 2)
+        return;
+    send_call(*to, call);
 }
 
 void host_model::apply_output(machine& m, control_output output) {
@@ -365,6 +380,8 @@
         return;
     pending_call const call = found->second;
     calls_.erase(found);
+    if (answer.verdict == configuration_verdict::not_leader && answer.leader)
+        follow_redirect(*answer.leader, call);
     if (answer.verdict == configuration_verdict::accepted)
         accepted_ = std::max(accepted_, call.number);
     if (answer.verdict != configuration_verdict::current)
@@ -429,6 +446,8 @@
             text += " " + std::to_string(value_of(learner));
         trace(text);
     }
+    for (model_follower const& follower : followers_)
+        trace(follower.describe(clock_.now()));
 }
 
 void host_model::trace(std::string const& text) const {
--- a/tests/host_model.h
+++ b/tests/host_model.h
@@ -62,6 +62,7 @@
     struct pending_call {
         std::uint64_t number = 0; // configuration number; 0 for a read
         std::uint64_t accepted_before = 0;
+        int redirects = 0;
     };
 
     void step(bool with_faults);
@@ -81,6 +82,8 @@
     void start(machine& m, bool is_founder);
     void sync(machine& m);
     void send_calls();
+    void send_call(machine& to, pending_call const& pending);
+    void follow_redirect(endpoint leader, pending_call call);
     void apply_output(machine& m, control_output output);
     void on_answer(configuration_answer const& answer);
     void send(machine const& from, endpoint to, control_message message);
--- a/tests/model_follower.cpp
+++ b/tests/model_follower.cpp
@@ -23,6 +23,7 @@
 
 void model_follower::stop(time_point restart_at) {
     contact_.reset();
+    last_session_ = {};
     directory_.clear();
     restart_at_ = restart_at;
 }
@@ -34,6 +35,8 @@
 
 std::optional<endpoint> model_follower::on_tick(time_point now) {
     apply(now, contact_->on_tick(now));
+    if (has_session())
+        last_session_ = now;
     if (now < next_heartbeat_)
         return std::nullopt;
     next_heartbeat_ = now + (has_session() ? heartbeat_interval : first_heartbeat_interval);
@@ -57,6 +60,17 @@
            contact_->leader_contact_age().has_value();
 }
 
+std::string model_follower::describe(time_point now) const {
+    std::string text = to_string(address_) + (redirects_ ? " redirects" : " follows");
+    if (!contact_)
+        return text + ", down";
+    text += ", asks " + to_string(contact_->host()) + (contact_->answered() ? " answered" : "");
+    if (auto const age = contact_->leader_contact_age())
+        text += " leader contact " + std::to_string(*age / milliseconds{1}) + " ms";
+    return text + ", last session " + std::to_string((now - last_session_) / milliseconds{1}) +
+           " ms ago";
+}
+
 void model_follower::apply(time_point now, contact_step step) {
     if (step == contact_step::connect)
         next_heartbeat_ = now;
--- a/tests/model_follower.h
+++ b/tests/model_follower.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "toucanusher/connection/control_contact.h"
@@ -29,6 +30,9 @@
     [[nodiscard]] std::vector<endpoint> const& directory() const { return directory_; }
     // Returns whether the host in use answers and is in contact with a leader.
     [[nodiscard]] bool has_session() const;
+    [[nodiscard]] bool had_session_since(time_point time) const { return last_session_ >= time; }
+
+    [[nodiscard]] std::string describe(time_point now) const;
 
   private:
     void apply(time_point now, contact_step step);
@@ -39,6 +43,7 @@
     std::vector<endpoint> directory_;        // confirmed by the answer of a control host
     time_point restart_at_{};
     time_point next_heartbeat_{};
+    time_point last_session_{}; // last time with a session
 };
 
 } // namespace toucanusher::tests
