Leave a control host that has no contact with a leader

Cause: a daemon took any answer as a sign that its control host works. A host that lost its disk, or that is cut off from the others, answers every heartbeat at once, but neither learns nor accepts a change. The daemon stayed for good.

Evidence:: 198 lines `without_control asked="10.4.0.25" answered=1`, no `control_silent` among the daemons that reached it, while another host led.

Ruled out: that the daemons' other seeds were tried (they are not, while one answers).

Change: an answer counts only if the host was in contact with a leader within 1.2 s. A host that answers without one gets the time of a silent one (1.5 s), which outlasts an election, then the next host is tried. A session counts as established only with a leader, also for daemons that follow no state, so they keep sending heartbeats every 150 ms until then. At the worst, without any leader, a daemon opens a link every 1.5 s: 440 a second for 660 daemons, spread over the hosts.

--- a/include/toucanusher/connection/control_contact.h
+++ b/include/toucanusher/connection/control_contact.h
@@ -22,6 +22,9 @@
     // outlast a short stall.
     link_monitor_options monitor{.first_receive_timeout = std::chrono::milliseconds{350},
                                  .replacements_per_peer = 0};
+    // A host whose contact with a leader is older cannot serve: it neither learns nor accepts
+    // changes. Longer than an election takes.
+    duration leader_contact_timeout = std::chrono::milliseconds{1200};
 };
 
 enum class contact_step : std::uint8_t { keep, connect };
@@ -36,22 +39,25 @@
     [[nodiscard]] std::vector<endpoint> const& directory() const { return selector_.directory(); }
     // Returns whether host() has answered on the present link.
     [[nodiscard]] bool answered() const { return monitor_.answered(); }
+    // Returns whether host() was in contact with a leader at its last answer on the present link.
+    [[nodiscard]] bool has_leader() const;
     // Age of the contact of host() with a leader, as its last answer gave it.
     [[nodiscard]] std::optional<duration> leader_contact_age() const { return leader_contact_age_; }
 
     void set_seeds(std::vector<endpoint> seeds) { selector_.set_seeds(std::move(seeds)); }
     [[nodiscard]] contact_step on_update(time_point now, state_update const& update);
     // Handles control hosts that another process named, unasked. They are not followed while
-    // host() answers, or if it is one of them.
+    // host() has a leader, or if it is one of them.
     [[nodiscard]] contact_step on_announcement(time_point now, std::vector<endpoint> hosts);
     [[nodiscard]] contact_step on_tick(time_point now);
 
   private:
     contact_step follow_directory(time_point now, std::vector<endpoint> hosts);
 
+    control_contact_options options_;
     control_host_selector selector_;
     link_monitor monitor_;
-    std::optional<duration> leader_contact_age_; // empty until host() has answered
+    std::optional<duration> leader_contact_age_; // empty until host() has answered on this link
 };
 
 } // namespace toucanusher
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -105,13 +105,13 @@
     }
 }
 
-// False until the host in use has answered and, if this daemon follows the state, confirmed it.
+// False until the host in use has a leader and, if this daemon follows the state, confirmed it.
 bool control_session::is_established() const {
     bool const wants_state = [this] {
         std::lock_guard const lock(mutex_);
         return content_.follows_state;
     }();
-    return contact_.answered() && (follower_.confirmed() || !wants_state);
+    return contact_.has_leader() && (follower_.confirmed() || !wants_state);
 }
 
 // Logs when the session is established or lost, and once a second while it is not established.
--- a/src/connection/control_contact.cpp
+++ b/src/connection/control_contact.cpp
@@ -7,7 +7,11 @@
 
 control_contact::control_contact(control_contact_options options, control_host_selector selector,
                                  time_point now)
-    : selector_(std::move(selector)), monitor_(options.monitor, now) {}
+    : options_(options), selector_(std::move(selector)), monitor_(options.monitor, now) {}
+
+bool control_contact::has_leader() const {
+    return leader_contact_age_ && *leader_contact_age_ < options_.leader_contact_timeout;
+}
 
 contact_step control_contact::on_update(time_point now, state_update const& update) {
     // A sender without state that names no other host counts as unresponsive.
@@ -15,13 +19,16 @@
         return follow_directory(now, update.control_hosts);
     selector_.set_directory(update.control_hosts);
     leader_contact_age_ = update.leader_contact_age;
-    monitor_.on_received(now);
+    if (has_leader())
+        monitor_.on_received(now);
+    else
+        monitor_.on_unusable_answer();
     return contact_step::keep;
 }
 
 contact_step control_contact::on_announcement(time_point now, std::vector<endpoint> hosts) {
     bool const names_current = std::find(hosts.begin(), hosts.end(), host()) != hosts.end();
-    if (answered() || names_current)
+    if (has_leader() || names_current)
         return contact_step::keep;
     return follow_directory(now, std::move(hosts));
 }
--- a/tests/model_follower.cpp
+++ b/tests/model_follower.cpp
@@ -10,8 +10,6 @@
 
 constexpr duration heartbeat_interval = std::chrono::seconds{1};
 constexpr duration first_heartbeat_interval = milliseconds{150};
-// Longer than the age of a contact between two heartbeats of the log, shorter than an outage.
-constexpr duration recent_contact = milliseconds{800};
 
 } // namespace
 
@@ -56,8 +54,7 @@
 }
 
 bool model_follower::has_session() const {
-    return contact_ && contact_->answered() && contact_->leader_contact_age() < recent_contact &&
-           contact_->leader_contact_age().has_value();
+    return contact_ && contact_->has_leader();
 }
 
 std::string model_follower::describe(time_point now) const {
