Replace a voter of the log in one change, with both sets of voters

Cause: a voter that was silent for 1.5 s was removed first, and its successor promoted in a second change. In between, 100 ms and two commits, the log had two voters. If one of them lost its disk then, no majority was left, although the silent voter and the successor held every entry.

Ruled out: lost entries (both remaining hosts hold all of them), the election (nobody can win it with the voters that the log names).

Proposing both changes without the pause: shortens the window only, not tried.

Change: log_members names `next_voters`. While it does, elections, commits, reads and the leader's own contact need a majority of both sets; a replacement needs the hosts that are left, and ends in a second change. The plan uses it for silent voters and for lost disks alike.

Conclusion: a fault of the class "counts on a host that has been replaced in part".

--- a/include/toucanusher/process/host_plan.h
+++ b/include/toucanusher/process/host_plan.h
@@ -2,7 +2,7 @@
 // and replaces lost voters.
 //
 // A pure function: the leader passes the status of each host and proposes the returned membership.
-// Each plan changes one host. A lost voter is removed once a learner that has caught up can take
+// Each plan changes one host. A lost voter is replaced once a learner that has caught up can take
 // its place.
 #pragma once
 
--- a/include/toucanusher/process/log_types.h
+++ b/include/toucanusher/process/log_types.h
@@ -22,6 +22,9 @@
     std::vector<host_id> learners;
     // Address of each host; hosts from settings files may be missing.
     std::map<host_id, endpoint> addresses;
+    // The voters after a replacement in progress; empty if there is none. Until it ends, elections
+    // and commits need a majority of `voters` and a majority of `next_voters`.
+    std::vector<host_id> next_voters;
 
     friend bool operator==(log_members const&, log_members const&) = default;
 };
--- a/include/toucanusher/process/replicated_log.h
+++ b/include/toucanusher/process/replicated_log.h
@@ -45,6 +45,7 @@
     bool read_without_quorum = false;    // serves reads without confirming leadership
     bool commit_old_terms = false;       // commits entries of earlier terms by counting replicas
     bool count_unsynced_entries = false; // counts the leader's entries before they are synced
+    bool count_next_voters_only = false; // ignores the present voters during a replacement
 };
 
 enum class log_role : std::uint8_t { follower, candidate, leader };
@@ -151,7 +152,9 @@
     disk_write& open_write();
     [[nodiscard]] bool has_quorum_contact(time_point now) const;
     [[nodiscard]] bool is_voter(host_id host) const;
-    [[nodiscard]] bool reaches_quorum(std::size_t count) const;
+    // Returns whether a majority of every set of voters agrees.
+    [[nodiscard]] bool reaches_quorum(std::function<bool(host_id)> const& agrees) const;
+    [[nodiscard]] bool has_won_vote() const;
     [[nodiscard]] log_index quorum_match() const;
     [[nodiscard]] std::optional<log_term> term_at(log_index index) const;
     [[nodiscard]] log_entry const& entry_at(log_index index) const;
--- a/src/process/archive_codec.h
+++ b/src/process/archive_codec.h
@@ -57,6 +57,37 @@
     std::vector<T>& list;
 };
 
+// Wraps the last field of a type, a list that is left out of the encoding while it is empty. Values
+// without it keep the encoding of releases that did not have the field.
+template <typename List>
+struct omitted_if_empty {
+    explicit omitted_if_empty(List& list) : list(list) {}
+
+    List& list;
+};
+
+// Counts the fields of a value that its encoding leaves out.
+class omission_counter {
+  public:
+    template <typename... Ts>
+    void operator()(Ts const&... values) {
+        count_ = (std::size_t{0} + ... + omitted(values));
+    }
+    [[nodiscard]] std::size_t count() const { return count_; }
+
+  private:
+    template <typename T>
+    static std::size_t omitted(T const& /*value*/) {
+        return 0;
+    }
+    template <typename List>
+    static std::size_t omitted(omitted_if_empty<List> const& field) {
+        return field.list.empty() ? 1 : 0;
+    }
+
+    std::size_t count_ = 0;
+};
+
 class archive_writer {
   public:
     template <typename... Ts>
@@ -73,8 +104,9 @@
         } else if constexpr (std::is_integral_v<T>) {
             packer_.pack(value);
         } else {
-            constexpr std::size_t count = field_count<T>();
-            packer_.pack_array(count);
+            omission_counter omissions;
+            fields(omissions, const_cast<T&>(value));
+            packer_.pack_array(static_cast<std::uint32_t>(field_count<T>() - omissions.count()));
             fields(*this, const_cast<T&>(value));
         }
     }
@@ -108,6 +140,11 @@
     void write(packed_list<T> const& list) {
         write(list.bytes());
     }
+    template <typename List>
+    void write(omitted_if_empty<List> const& field) {
+        if (!field.list.empty())
+            write(field.list);
+    }
     template <typename T>
     void write(std::vector<T> const& list) {
         write_list(list);
@@ -156,7 +193,7 @@
     template <typename... Ts>
     void operator()(Ts&... values) {
         std::size_t next = 0;
-        (archive_reader(object_.via.array.ptr[next++]).read(values), ...);
+        (read_field(values, next++), ...);
     }
 
     template <typename T>
@@ -175,7 +212,7 @@
             read_integer(value);
         } else {
             constexpr std::size_t count = archive_writer::field_count<T>();
-            require(object_.type == msgpack::type::ARRAY && object_.via.array.size == count,
+            require(object_.type == msgpack::type::ARRAY && object_.via.array.size <= count,
                     "wrong number of fields");
             fields(*this, value);
         }
@@ -219,6 +256,11 @@
         read(bytes);
         require(list.assign(bytes), "packed list has a partial element");
     }
+    template <typename List>
+    void read(omitted_if_empty<List>& field) {
+        read(field.list);
+        require(!field.list.empty(), "an empty list must be left out");
+    }
     template <typename T>
     void read(std::vector<T>& list) {
         read_list(list);
@@ -251,6 +293,17 @@
         if (!condition)
             throw archive_error(error);
     }
+    template <typename T>
+    void read_field(T& value, std::size_t position) {
+        require(position < object_.via.array.size, "wrong number of fields");
+        archive_reader(object_.via.array.ptr[position]).read(value);
+    }
+    template <typename List>
+    void read_field(omitted_if_empty<List>& field, std::size_t position) {
+        field.list.clear();
+        if (position < object_.via.array.size)
+            archive_reader(object_.via.array.ptr[position]).read(field);
+    }
     [[nodiscard]] msgpack::object const* array(std::uint32_t size) const {
         require(object_.type == msgpack::type::ARRAY && object_.via.array.size == size,
                 "wrong number of fields");
--- a/src/process/host_plan.cpp
+++ b/src/process/host_plan.cpp
@@ -1,6 +1,7 @@
 #include "toucanusher/process/host_plan.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace toucanusher {
 
@@ -41,6 +42,32 @@
     return members;
 }
 
+// Replaces a voter in one step, during which both sets of voters count.
+log_members with_replacement(log_members members, host_status const& lost,
+                             host_status const& successor) {
+    members.next_voters = members.voters;
+    std::erase(members.next_voters, lost.id);
+    members.next_voters.push_back(successor.id);
+    std::erase(members.learners, successor.id);
+    members.addresses[successor.id] = successor.address;
+    return members;
+}
+
+// A voter that was replaced stays as a learner, unless its disk is lost.
+log_members without_replaced_voter(log_members members, std::vector<host_status> const& statuses) {
+    for (host_id const voter : members.voters) {
+        if (contains(members.next_voters, voter))
+            continue;
+        host_status const* const status = find_status(statuses, voter);
+        if (status == nullptr || status->superseded)
+            members.addresses.erase(voter);
+        else
+            members.learners.push_back(voter);
+    }
+    members.voters = std::exchange(members.next_voters, {});
+    return members;
+}
+
 log_members with_voter(log_members members, host_status const& host) {
     std::erase(members.learners, host.id);
     members.voters.push_back(host.id);
@@ -93,9 +120,9 @@
     return std::nullopt;
 }
 
-// Removes the lost voter before it promotes the successor: removal needs a majority of the present
-// voters only, while promotion first would need the new voter for a majority as well. Both orders
-// tolerate the same further losses, since the lost voter never acknowledges.
+// Replaces a lost voter. At no time does the log have fewer voters than planned, since a silent
+// voter may return with its disk after another has lost one; and the replacement needs only the
+// voters that are left.
 std::optional<log_members> replace_voter(host_plan_options const& options,
                                          log_members const& members, host_id self,
                                          std::vector<host_status> const& statuses) {
@@ -106,6 +133,8 @@
     bool const spare = members.voters.size() > options.voters;
     if (lost == nullptr || (successor == nullptr && !spare))
         return std::nullopt;
+    if (!spare)
+        return with_replacement(members, *lost, *successor);
     log_members const next = without_host(members, lost->id);
     return lost->superseded ? next : with_learner(next, *lost);
 }
@@ -114,6 +143,8 @@
 
 std::optional<log_members> plan_hosts(host_plan_options const& options, log_members const& members,
                                       host_id self, std::vector<host_status> const& statuses) {
+    if (!members.next_voters.empty())
+        return without_replaced_voter(members, statuses);
     if (auto next = replace_voter(options, members, self, statuses))
         return next;
     if (auto next = remove_learner(options, members, statuses))
--- a/src/process/log_fields_codec.h
+++ b/src/process/log_fields_codec.h
@@ -12,7 +12,8 @@
 
 template <typename Archive>
 auto fields(Archive& archive, log_members& value) {
-    return detail::list_fields(archive, value.voters, value.learners, value.addresses);
+    detail::omitted_if_empty next_voters{value.next_voters};
+    return detail::list_fields(archive, value.voters, value.learners, value.addresses, next_voters);
 }
 template <typename Archive>
 auto fields(Archive& archive, log_entry& value) {
--- a/src/process/replicated_log.cpp
+++ b/src/process/replicated_log.cpp
@@ -16,6 +16,29 @@
         std::count_if(from.begin(), from.end(), [&](host_id host) { return !contains(in, host); }));
 }
 
+// Returns the voters of both sets, without duplicates.
+std::vector<host_id> all_voters(log_members const& members) {
+    std::vector<host_id> result = members.voters;
+    for (host_id const voter : members.next_voters)
+        if (!contains(result, voter))
+            result.push_back(voter);
+    return result;
+}
+
+// Returns the highest value that a majority of every set of voters reaches.
+template <typename T, typename ValueOf>
+T quorum_minimum(log_members const& members, ValueOf const& value_for) {
+    auto const reached = [&](std::vector<host_id> const& voters) {
+        std::vector<T> values;
+        for (host_id const voter : voters)
+            values.push_back(value_for(voter));
+        std::sort(values.begin(), values.end(), std::greater<>{});
+        return values.empty() ? T{} : values[values.size() / 2];
+    };
+    T const present = reached(members.voters);
+    return members.next_voters.empty() ? present : std::min(present, reached(members.next_voters));
+}
+
 } // namespace
 
 replicated_log::replicated_log(log_options options, durable_log stored, time_point now,
@@ -130,17 +153,12 @@
     if (role_ != log_role::leader)
         return leader_ ? std::optional{now - last_leader_contact_} : std::nullopt;
     // The newest time by which a majority had replied; this host counts as replying now.
-    std::vector<time_point> replies;
-    for (host_id const voter : members_.voters) {
-        auto const peer = progress_.find(voter);
-        if (voter == options_.self)
-            replies.push_back(now);
-        else
-            replies.push_back(peer == progress_.end() ? became_leader_at_
-                                                      : peer->second.last_reply);
-    }
-    std::sort(replies.begin(), replies.end(), std::greater<>{});
-    return now - replies[replies.size() / 2];
+    return now - quorum_minimum<time_point>(members_, [&](host_id voter) {
+               auto const peer = progress_.find(voter);
+               if (voter == options_.self)
+                   return now;
+               return peer == progress_.end() ? became_leader_at_ : peer->second.last_reply;
+           });
 }
 
 log_index replicated_log::match_index(host_id peer) const {
@@ -196,11 +214,7 @@
     if (role_ != log_role::candidate || reply.pre_vote != pre_vote_ || !expected_term)
         return;
     votes_[from] = true;
-    auto const granted =
-        static_cast<std::size_t>(std::count_if(votes_.begin(), votes_.end(), [&](auto const& vote) {
-            return vote.second && is_voter(vote.first);
-        }));
-    if (!reaches_quorum(granted))
+    if (!has_won_vote())
         return;
     if (pre_vote_)
         campaign(now, false);
@@ -325,10 +339,10 @@
     }
     vote_request const request{state_.term + (pre_vote ? 1 : 0), last_index(),
                                *term_at(last_index()), pre_vote};
-    for (host_id const voter : members_.voters)
+    for (host_id const voter : all_voters(members_))
         if (voter != options_.self)
             send(voter, request, vote_hold());
-    if (!reaches_quorum(1))
+    if (!has_won_vote())
         return;
     if (pre_vote)
         campaign(now, false);
@@ -436,11 +450,12 @@
 
 void replicated_log::confirm_reads() {
     std::erase_if(reads_, [&](pending_read const& read) {
-        std::size_t count = is_voter(options_.self) ? 1 : 0;
-        for (auto const& [host, state] : progress_)
-            if (is_voter(host) && state.acknowledged_round >= read.round)
-                ++count;
-        if (!reaches_quorum(count))
+        bool const confirmed = reaches_quorum([&](host_id host) {
+            auto const peer = progress_.find(host);
+            return host == options_.self ||
+                   (peer != progress_.end() && peer->second.acknowledged_round >= read.round);
+        });
+        if (!confirmed)
             return false;
         output_.reads.push_back({.request = read.request, .ok = true, .index = read.index});
         return true;
@@ -509,31 +524,43 @@
 bool replicated_log::has_quorum_contact(time_point now) const {
     if (now - became_leader_at_ < options_.election_timeout)
         return true;
-    std::size_t count = is_voter(options_.self) ? 1 : 0;
-    for (auto const& [host, state] : progress_)
-        if (is_voter(host) && now - state.last_reply < options_.election_timeout)
-            ++count;
-    return reaches_quorum(count);
+    return reaches_quorum([&](host_id host) {
+        auto const peer = progress_.find(host);
+        return host == options_.self || (peer != progress_.end() &&
+                                         now - peer->second.last_reply < options_.election_timeout);
+    });
 }
 
 bool replicated_log::is_voter(host_id host) const {
-    return contains(members_.voters, host);
+    return contains(members_.voters, host) || contains(members_.next_voters, host);
 }
 
-bool replicated_log::reaches_quorum(std::size_t count) const {
-    return count > members_.voters.size() / 2;
+bool replicated_log::reaches_quorum(std::function<bool(host_id)> const& agrees) const {
+    auto const has_majority = [&](std::vector<host_id> const& voters) {
+        auto const count = std::count_if(voters.begin(), voters.end(), agrees);
+        return static_cast<std::size_t>(count) > voters.size() / 2;
+    };
+    if (members_.next_voters.empty())
+        return has_majority(members_.voters);
+    return has_majority(members_.next_voters) &&
+           (faults_.count_next_voters_only || has_majority(members_.voters));
+}
+
+bool replicated_log::has_won_vote() const {
+    return reaches_quorum([&](host_id host) {
+        auto const vote = votes_.find(host);
+        return vote != votes_.end() && vote->second;
+    });
 }
 
 log_index replicated_log::quorum_match() const {
-    std::vector<log_index> matches;
-    for (host_id const voter : members_.voters) {
+    log_members counted = members_;
+    if (faults_.count_next_voters_only && !counted.next_voters.empty())
+        counted.voters = counted.next_voters;
+    return quorum_minimum<log_index>(counted, [&](host_id voter) {
         log_index const own = faults_.count_unsynced_entries ? last_index() : synced_index_;
-        matches.push_back(voter == options_.self ? own : match_index(voter));
-    }
-    if (matches.empty())
-        return 0;
-    std::sort(matches.begin(), matches.end(), std::greater<>{});
-    return matches[matches.size() / 2];
+        return voter == options_.self ? own : match_index(voter);
+    });
 }
 
 std::optional<log_term> replicated_log::term_at(log_index index) const {
@@ -552,10 +579,12 @@
 
 std::vector<host_id> replicated_log::peers() const {
     std::vector<host_id> result;
-    for (auto const* group : {&members_.voters, &members_.learners})
-        for (host_id const host : *group)
-            if (host != options_.self)
-                result.push_back(host);
+    for (host_id const host : all_voters(members_))
+        if (host != options_.self)
+            result.push_back(host);
+    for (host_id const host : members_.learners)
+        if (host != options_.self)
+            result.push_back(host);
     return result;
 }
 
@@ -566,11 +595,20 @@
         return absl::FailedPreconditionError("another membership change is in progress");
     if (members.voters.empty())
         return absl::InvalidArgumentError("the log needs at least one voter");
-    std::size_t const added = count_missing(members.voters, members_.voters);
-    std::size_t const removed = count_missing(members_.voters, members.voters);
-    if (added + removed > 1)
+    bool const ends_replacement =
+        members.voters == members_.next_voters && members.next_voters.empty();
+    if (!members_.next_voters.empty())
+        return ends_replacement ? absl::OkStatus()
+                                : absl::FailedPreconditionError("a voter is being replaced");
+    bool const replaces = !members.next_voters.empty();
+    if (replaces && members.voters != members_.voters)
+        return absl::FailedPreconditionError("a replacement must keep the present voters");
+    std::vector<host_id> const& voters = replaces ? members.next_voters : members.voters;
+    std::size_t const added = count_missing(voters, members_.voters);
+    std::size_t const removed = count_missing(members_.voters, voters);
+    if (added > 1 || removed > 1 || (!replaces && added + removed > 1))
         return absl::FailedPreconditionError("only one voter may change at a time");
-    for (host_id const voter : members.voters) {
+    for (host_id const voter : voters) {
         if (contains(members_.voters, voter))
             continue;
         // A new voter must hold every committed entry before it counts for the majority.
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <absl/strings/escaping.h>
 #include <doctest/doctest.h>
 
 #include "src/process/io/daemon_config.h"
@@ -259,4 +260,20 @@
     CHECK((*store)->append({make_write(1, "one")}).code() == absl::StatusCode::kFailedPrecondition);
 }
 
+TEST_CASE("members are encoded as by earlier releases, except during a replacement") {
+    log_members members;
+    members.voters = {host_id{1}, host_id{2}};
+    members.learners = {host_id{3}};
+    members.addresses[host_id{1}] = {10, 7000};
+    disk_write write;
+    write.sequence = 5;
+    write.entries.push_back({3, 4, entry_kind::members, {}, members});
+    CHECK(absl::BytesToHexString(encode_disk_write(write)) ==
+          "95059090909195030402c40091939201029103919201920acd1b58");
+    write.entries[0].members->next_voters = {host_id{1}, host_id{3}};
+    auto const decoded = decode_disk_write(encode_disk_write(write));
+    REQUIRE(decoded.ok());
+    CHECK(*decoded->entries[0].members == *write.entries[0].members);
+}
+
 } // namespace toucanusher::tests
