Let a redirector at the lowest seed appoint the host that founds the fleet

Callers: on a first start whose lowest seed has no disk, no configuration is ever accepted and nothing is served.

Cause: only the host at the lowest seed may found the log. A redirector there cannot, and nobody else may.

Weighed: the lowest seed with a disk founds (needs an answer from every lower seed, and three seeds without a disk found nothing); a vote of the seeds (a seed without a disk may vote twice).

Change: host_referral decides which hosts a redirector names. On a first start, at the lowest seed, one second after its own start and without an announcement before, it names the first host that asks, to everybody and for good; an empty host that is told its own address only, by that seed, founds. No message changes.

--- a/include/toucanusher/process/replicated_log.h
+++ b/include/toucanusher/process/replicated_log.h
@@ -85,6 +85,9 @@
     // committed before this call.
     log_output read(time_point now, std::uint64_t request);
     // Takes a snapshot: `state` replaces the entries up to `index`, which must be applied.
+    // Starts the log with `members`, which must name this host as the only voter. The log must be
+    // without members and entries.
+    log_output found(time_point now, log_members members);
     log_output compact(log_index index, std::string state);
 
     [[nodiscard]] log_role role() const { return role_; }
--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -41,7 +41,8 @@
     std::function<wall_time()> wall_clock; // timestamps membership changes; must be set
     // If set, hosts find each other, join and are replaced without an operator.
     std::optional<host_plan_options> automatic_hosts;
-    endpoint self_address;                                   // address of this host's links
+    endpoint self_address;  // address of this host's links
+    bool may_found = false; // may start the log of a new fleet if a redirector appoints this host
     duration join_interval = std::chrono::milliseconds{250}; // between join requests
     duration plan_interval = std::chrono::milliseconds{100}; // between evaluations of the host plan
     duration leaderless_join_delay = std::chrono::milliseconds{1200}; // longer than an election
@@ -95,11 +96,13 @@
     // Records that a message of another host arrived from `address`.
     void on_host_contact(time_point now, host_id host, endpoint address);
     void set_seeds(std::vector<endpoint> seeds) { directory_.set_seeds(std::move(seeds)); }
-    // Adds link addresses of control hosts that a process outside the set of hosts sent.
-    void add_known_hosts(std::vector<endpoint> const& hosts) { directory_.add_addresses(hosts); }
+    // Handles the answer of a redirector to a join request.
+    control_output on_referral(time_point now, join_answer const& referral);
     [[nodiscard]] std::optional<endpoint> address_of(host_id host) const;
 
     [[nodiscard]] replicated_log const& log() const { return log_; }
+    // Returns whether this host holds a log, as founder or because it has joined.
+    [[nodiscard]] bool is_member() const { return !log_.members().voters.empty(); }
     [[nodiscard]] fleet_state const& state() const { return *state_; }
     [[nodiscard]] std::size_t client_count() const { return clients_.size(); }
 
@@ -161,6 +164,7 @@
     [[nodiscard]] bool has_leader_contact(time_point now) const;
     void request_join(time_point now);
     void announce_hosts(time_point now);
+    [[nodiscard]] bool is_appointed_by(join_answer const& referral) const;
     void on_join_request(time_point now, host_id from, join_request const& request);
     [[nodiscard]] std::vector<endpoint> host_addresses() const;
     void answer_reads(time_point now);
--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -146,6 +146,7 @@
             options.automatic_hosts.emplace();
             options.automatic_hosts->voters = 2 * automatic->tolerated_losses + 1;
             options.self_address = automatic->listen;
+            options.may_found = automatic->may_found && store_->was_empty();
             options.log.heartbeat_interval = automatic_heartbeat_interval;
             options.log.election_timeout = automatic_election_timeout;
             options.log.first_election_timeout = automatic_first_election_timeout;
@@ -159,7 +160,8 @@
     }
 
     // The host at the lowest seed address creates the log with itself as its only voter; the others
-    // join it. The log is created only once: a host that loses its disk later joins as well.
+    // join it. If a redirector has that address, it appoints a host to create the log. The log is
+    // created only once: a host that loses its disk later joins as well.
     absl::Status initialize_automatic_log(durable_log& stored) {
         auto const& seeds = context_.config.seeds;
         discovered_control_config const& automatic = *context_.config.discovered_control;
@@ -318,7 +320,11 @@
             execute_output(host_->on_heartbeat(now, client, *daemon_heartbeat));
         } else if (auto const* directory = std::get_if<join_answer>(&*message)) {
             links_.record_contact(directory->sender);
-            host_->add_known_hosts(directory->hosts);
+            bool const was_member = host_->is_member();
+            execute_output(host_->on_referral(now, *directory));
+            if (!was_member && host_->is_member())
+                context_.events->info(
+                    event_line("founds").add("appointed_by", to_string(directory->sender)));
         } else {
             on_peer_message(now, *message);
         }
--- a/programs/control_redirector.cpp
+++ b/programs/control_redirector.cpp
@@ -1,5 +1,6 @@
 #include "programs/control_redirector.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <utility>
@@ -14,6 +15,7 @@
 #include "src/version/control_codec.h"
 #include "toucanusher/process/duty.h"
 #include "toucanusher/process/ring.h"
+#include "toucanusher/version/host_referral.h"
 
 namespace toucanusher {
 
@@ -33,10 +35,16 @@
 // duties.
 class control_host_cache {
   public:
+    control_host_cache(host_referral_options options, time_point now) : referral_(options, now) {}
+
     void set(endpoint current, std::vector<endpoint> hosts) {
         std::lock_guard const lock(mutex_);
         current_ = current;
-        hosts_ = std::move(hosts);
+        referral_.set_hosts(std::move(hosts));
+    }
+    void on_announcement() {
+        std::lock_guard const lock(mutex_);
+        referral_.on_announcement();
     }
     [[nodiscard]] endpoint current() const {
         std::lock_guard const lock(mutex_);
@@ -44,20 +52,35 @@
     }
     [[nodiscard]] std::vector<endpoint> hosts() const {
         std::lock_guard const lock(mutex_);
-        return hosts_;
+        return referral_.hosts();
+    }
+    [[nodiscard]] std::vector<endpoint> hosts_for(time_point now, endpoint searching_host) {
+        std::lock_guard const lock(mutex_);
+        return referral_.hosts_for(now, searching_host);
     }
 
   private:
     mutable std::mutex mutex_;
-    endpoint current_;            // empty until a host has answered; guarded by mutex_
-    std::vector<endpoint> hosts_; // guarded by mutex_
+    endpoint current_;       // empty until a host has answered; guarded by mutex_
+    host_referral referral_; // guarded by mutex_
 };
 
+host_referral_options make_referral_options(daemon_config const& config) {
+    auto const& seeds = config.seeds;
+    host_referral_options options;
+    options.may_appoint =
+        config.discovered_control->may_found && !seeds.empty() &&
+        *std::min_element(seeds.begin(), seeds.end()) == config.discovered_control->api;
+    return options;
+}
+
 class control_redirector final : public daemon_process {
   public:
     control_redirector(process_context& context, operator_api_hook operator_api)
         : context_(context), config_(*context.config.discovered_control),
-          operator_api_(std::move(operator_api)), events_(event_ring_size), links_(context) {}
+          operator_api_(std::move(operator_api)),
+          control_hosts_(make_referral_options(context.config), context.clock.now()),
+          events_(event_ring_size), links_(context) {}
 
     ~control_redirector() override {
         admin_.reset();
@@ -177,13 +200,18 @@
         if (!content.ok())
             context_.counters.count_refusal("control", "malformed");
         else if (auto const* announced = std::get_if<join_answer>(&*content))
-            session_->add_announced_hosts(announced->hosts);
+            on_announcement(*announced);
         answer_host(received.address);
     }
 
+    void on_announcement(join_answer const& announced) {
+        control_hosts_.on_announcement();
+        session_->add_announced_hosts(announced.hosts);
+    }
+
     void answer_host(endpoint address) {
         time_point const now = context_.clock.now();
-        join_answer const directory{config_.listen, control_hosts_.hosts()};
+        join_answer const directory{config_.listen, control_hosts_.hosts_for(now, address)};
         report_directory(to_string(address), directory.hosts.size());
         links_.send(now, address, context_.sealer->seal(encode_control_message(directory)));
         links_.record_contact(address);
--- a/src/process/replicated_log.cpp
+++ b/src/process/replicated_log.cpp
@@ -124,6 +124,14 @@
     return take_output();
 }
 
+log_output replicated_log::found(time_point now, log_members members) {
+    snapshot_.members = std::move(members);
+    open_write().snapshot = snapshot_;
+    refresh_members();
+    reset_election_timer(now);
+    return take_output();
+}
+
 log_output replicated_log::compact(log_index index, std::string state) {
     if (index <= snapshot_.index || index > commit_)
         return take_output();
--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -138,6 +138,25 @@
         output_.to_hosts.push_back({from, join_answer{options_.self_address, std::move(known)}});
 }
 
+control_output control_host::on_referral(time_point now, join_answer const& referral) {
+    directory_.add_addresses(referral.hosts);
+    if (is_appointed_by(referral)) {
+        log_members members;
+        members.voters = {options_.log.self};
+        members.addresses[options_.log.self] = options_.self_address;
+        apply_log_output(now, log_.found(now, std::move(members)));
+    }
+    return take_output();
+}
+
+// Only the redirector at the lowest seed appoints, so that one host at most founds the fleet.
+bool control_host::is_appointed_by(join_answer const& referral) const {
+    std::vector<endpoint> const& seeds = directory_.seeds();
+    return options_.may_found && !is_member() && log_.last_index() == 0 && !seeds.empty() &&
+           referral.sender == *std::min_element(seeds.begin(), seeds.end()) &&
+           referral.hosts == std::vector{options_.self_address};
+}
+
 std::vector<endpoint> control_host::host_addresses() const {
     std::vector<endpoint> result;
     for (auto const& [id, address] : log_.members().addresses)
--- a/tests/control_discovery_test.cpp
+++ b/tests/control_discovery_test.cpp
@@ -95,6 +95,19 @@
     CHECK_FALSE(contains(announced, own_address));
 }
 
+TEST_CASE("a redirector at the lowest seed appoints one founder, in any order of starts") {
+    for (std::uint32_t redirector_seeds = 1; redirector_seeds <= 3; ++redirector_seeds)
+        for (std::uint64_t seed = 1; seed <= environment_number("TOUCANUSHER_FUZZ_RUNS", 50);
+             ++seed) {
+            host_model_options options = options_with_followers();
+            options.redirector_seeds = redirector_seeds;
+            options.fault_period = std::chrono::seconds{3};
+            auto const violation = host_model(options, seed).run();
+            INFO(redirector_seeds, " redirectors, seed ", seed);
+            CHECK_MESSAGE(!violation, violation.value_or(""));
+        }
+}
+
 TEST_CASE("every daemon finds control after a loss of all power, whatever its seeds are") {
     std::uint64_t const traced = environment_number("TOUCANUSHER_TRACE_SEED", 0);
     std::uint64_t const last =
--- a/tests/control_host_test.cpp
+++ b/tests/control_host_test.cpp
@@ -7,6 +7,7 @@
 
 #include "src/version/state_codec.h"
 #include "toucanusher/version/control_host.h"
+#include "toucanusher/version/host_referral.h"
 
 namespace toucanusher::tests {
 
@@ -172,4 +173,64 @@
     CHECK(std::holds_alternative<host_change_done>(*by_fleet));
 }
 
+namespace {
+
+constexpr endpoint host_address{20, 7000};
+constexpr endpoint lowest_seed{10, 7000};
+constexpr endpoint other_seed{11, 7000};
+
+// An empty control host that redirectors answer.
+struct referred_host {
+    manual_clock clock;
+    control_host host;
+
+    explicit referred_host(bool may_found) : host(make(may_found, clock.now())) {
+        host.set_seeds({other_seed, lowest_seed});
+    }
+
+    static control_host make(bool may_found, time_point now) {
+        control_options options;
+        options.log.self = host_id{1};
+        options.wall_clock = [] { return wall_time{}; };
+        options.automatic_hosts.emplace();
+        options.self_address = host_address;
+        options.may_found = may_found;
+        return {options, make_state_codec(), {}, now, make_seeded_random(1)};
+    }
+
+    // Returns whether the host holds a log after the answer.
+    bool founds(endpoint sender, std::vector<endpoint> hosts) {
+        (void)host.on_referral(clock.now(), {sender, std::move(hosts)});
+        return host.is_member();
+    }
+};
+
+} // namespace
+
+TEST_CASE("only an empty host on a first start founds, and only at the word of the lowest seed") {
+    CHECK_FALSE(referred_host(false).founds(lowest_seed, {host_address}));
+    CHECK_FALSE(referred_host(true).founds(other_seed, {host_address}));
+    CHECK_FALSE(referred_host(true).founds(lowest_seed, {}));
+    CHECK_FALSE(referred_host(true).founds(lowest_seed, {{21, 7000}}));
+    CHECK_FALSE(referred_host(true).founds(lowest_seed, {host_address, {21, 7000}}));
+    CHECK(referred_host(true).founds(lowest_seed, {host_address}));
+}
+
+TEST_CASE("a redirector appoints one host, after it has waited for announcements") {
+    time_point const now{std::chrono::hours{1}};
+    std::chrono::seconds const delay{1};
+    host_referral referral({.may_appoint = true, .appointment_delay = delay}, now);
+    endpoint const other{21, 7000};
+    CHECK(referral.hosts_for(now, host_address).empty());
+    CHECK(referral.hosts_for(now + delay, host_address) == std::vector{host_address});
+    CHECK(referral.hosts_for(now + delay, other) == std::vector{host_address});
+    CHECK(referral.hosts().empty());
+    referral.set_hosts({other});
+    CHECK(referral.hosts_for(now + delay, host_address) == std::vector{other});
+
+    host_referral restarted({.may_appoint = true, .appointment_delay = delay}, now);
+    restarted.on_announcement();
+    CHECK(restarted.hosts_for(now + delay, host_address).empty());
+}
+
 } // namespace toucanusher::tests
--- a/tests/host_model.cpp
+++ b/tests/host_model.cpp
@@ -12,6 +12,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Addresses. Those of the redirectors are the lowest, so that one of them appoints the founder if
+// they are seeds.
+constexpr std::uint32_t first_redirector = 1;
+constexpr std::uint32_t first_host = 10;
+constexpr std::uint32_t first_daemon = 500;
 constexpr duration step_interval = milliseconds{10};
 constexpr duration rejoin_period =
     seconds{4}; // a host counts as faulty for this long after its restart or reconnection
@@ -52,20 +57,33 @@
     : options_(std::move(options)), random_(make_seeded_random(seed)) {
     for (std::uint32_t i = 0; i < options_.machines; ++i) {
         machines_.push_back(std::make_unique<machine>());
-        machines_.back()->listen_endpoint = {10 + i, 7000};
-        if (i < 3)
-            seeds_.push_back(machines_.back()->listen_endpoint);
+        machines_.back()->listen_endpoint = {first_host + i, 7000};
     }
+    choose_first_seeds();
     for (auto const& m : machines_)
-        start(*m, m->listen_endpoint == seeds_.front());
-    for (std::uint32_t i = 0; i < options_.redirectors + options_.daemons; ++i)
-        followers_.emplace_back(endpoint{500 + i, 7000}, i < options_.redirectors);
+        start(*m, true);
+    for (std::uint32_t i = 0; i < options_.redirectors; ++i)
+        followers_.emplace_back(endpoint{first_redirector + i, 7000}, true);
+    for (std::uint32_t i = 0; i < options_.daemons; ++i)
+        followers_.emplace_back(endpoint{first_daemon + i, 7000}, false);
+}
+
+void host_model::choose_first_seeds() {
+    for (std::uint32_t i = 0; i < 3; ++i)
+        seeds_.push_back(i < options_.redirector_seeds ? endpoint{first_redirector + i, 7000}
+                                                       : machines_[i]->listen_endpoint);
 }
 
 std::optional<std::string> host_model::run() {
+    time_point const restarts_end = clock_.now() + formation_period;
+    while (options_.redirector_seeds > 0 && clock_.now() < restarts_end && !violation_) {
+        restart_redirectors();
+        step(false);
+    }
     time_point const formation_end = clock_.now() + formation_period;
     while (clock_.now() < formation_end && !violation_)
         step(false);
+    is_forming_ = false;
     time_point const end = clock_.now() + options_.fault_period;
     while (clock_.now() < end && !violation_)
         step(true);
@@ -123,7 +141,7 @@
 void host_model::tick(model_follower& follower) {
     time_point const now = clock_.now();
     if (!follower.is_running() && now >= follower.restart_at())
-        follower.start(now, seeds_, random_below(seeds_.size()));
+        follower.start(now, seeds_, random_below(seeds_.size()), is_forming_);
     if (!follower.is_running())
         return;
     if (auto const host = follower.on_tick(now)) {
@@ -170,7 +188,9 @@
     } else if (auto const* content = std::get_if<heartbeat>(&item.message)) {
         apply_output(to, to.host->on_heartbeat(now, client_id{item.from.address}, *content));
     } else if (auto const* directory = std::get_if<join_answer>(&item.message)) {
-        to.host->add_known_hosts(directory->hosts);
+        bool const was_member = to.host->is_member();
+        apply_output(to, to.host->on_referral(now, *directory));
+        count_founders(to, was_member);
     }
 }
 
@@ -188,7 +208,11 @@
     } else if (to.redirects()) {
         if (auto const* announced = std::get_if<join_answer>(&item.message))
             to.on_announcement(now, announced->hosts);
-        send({now, to.address(), {}, item.from, join_answer{to.address(), to.directory()}});
+        send({now,
+              to.address(),
+              {},
+              item.from,
+              join_answer{to.address(), to.referral(now, item.from)}});
     }
 }
 
@@ -294,10 +318,27 @@
     trace(to_string(m.listen_endpoint) + " crashes");
 }
 
-void host_model::start(machine& m, bool is_founder) {
+void host_model::count_founders(machine const& m, bool was_member) {
+    if (was_member || !m.host->is_member())
+        return;
+    trace(to_string(m.listen_endpoint) + " founds the log");
+    if (++founders_ > 1)
+        violation_ = "a second host founded a log";
+}
+
+// While the hosts form the log, so that a redirector may appoint a host again.
+void host_model::restart_redirectors() {
+    if (!chance(0.003))
+        return;
+    model_follower& follower = followers_[random_below(options_.redirectors)];
+    trace(to_string(follower.address()) + " restarts");
+    follower.stop(clock_.now() + milliseconds{random_below(300)});
+}
+
+void host_model::start(machine& m, bool is_first_start) {
     if (value_of(m.id) == 0)
         m.id = host_id{next_id_++};
-    if (is_founder) {
+    if (is_first_start && m.listen_endpoint == *std::min_element(seeds_.begin(), seeds_.end())) {
         m.disk.snapshot.members.voters = {m.id};
         m.disk.snapshot.members.addresses[m.id] = m.listen_endpoint;
     }
@@ -310,6 +351,7 @@
     options.automatic_hosts.emplace();
     options.automatic_hosts->voters = 2 * options_.tolerated_losses + 1;
     options.self_address = m.listen_endpoint;
+    options.may_found = is_first_start;
     options.entries_per_snapshot = 20; // low, so that joining hosts receive snapshots too
     options.log.kept_entries_after_snapshot = 5;
     m.host = std::make_unique<control_host>(options, make_state_codec(), m.disk, clock_.now(),
--- a/tests/host_model.h
+++ b/tests/host_model.h
@@ -25,6 +25,9 @@
     duration fault_period = std::chrono::seconds{40};
     std::uint32_t redirectors = 0; // control processes without a disk
     std::uint32_t daemons = 0;
+    // Number of redirectors among the three seeds of the first start. If there are any, redirectors
+    // restart while the hosts form the log.
+    std::uint32_t redirector_seeds = 0;
     bool keep_identity = false; // injected fault: a host that lost its disk votes under its old id
     std::function<void(std::string const&)> trace;
 };
@@ -79,7 +82,10 @@
     void inject_faults();
     void lose_disk(machine& m);
     void crash(machine& m, duration down);
-    void start(machine& m, bool is_founder);
+    void start(machine& m, bool is_first_start);
+    void choose_first_seeds();
+    void restart_redirectors();
+    void count_founders(machine const& m, bool was_member);
     void sync(machine& m);
     void send_calls();
     void send_call(machine& to, pending_call const& pending);
@@ -113,7 +119,9 @@
     std::uint64_t accepted_ = 0; // highest acknowledged configuration number
     std::uint64_t last_read_ = 0;
     std::uint32_t disks_lost_ = 0;
-    bool only_reads_ = false; // set near the end, so that the last read follows every write
+    std::uint32_t founders_ = 0; // hosts that started a log
+    bool is_forming_ = true;     // until the first start is over
+    bool only_reads_ = false;    // set near the end, so that the last read follows every write
     time_point next_disk_loss_at_{};
     std::optional<std::string> violation_;
 };
--- a/tests/model_follower.cpp
+++ b/tests/model_follower.cpp
@@ -1,5 +1,6 @@
 #include "tests/model_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace toucanusher::tests {
@@ -13,7 +14,12 @@
 
 } // namespace
 
-void model_follower::start(time_point now, std::vector<endpoint> seeds, std::size_t first_seed) {
+void model_follower::start(time_point now, std::vector<endpoint> seeds, std::size_t first_seed,
+                           bool is_first_start) {
+    host_referral_options options;
+    options.may_appoint =
+        is_first_start && address_ == *std::min_element(seeds.begin(), seeds.end());
+    referral_.emplace(options, now);
     contact_.emplace(control_contact_options{}, control_host_selector{std::move(seeds), first_seed},
                      now);
     next_heartbeat_ = now;
@@ -22,7 +28,7 @@
 void model_follower::stop(time_point restart_at) {
     contact_.reset();
     last_session_ = {};
-    directory_.clear();
+    referral_.reset();
     restart_at_ = restart_at;
 }
 
@@ -46,10 +52,11 @@
         return;
     apply(now, contact_->on_update(now, update));
     if (!update.directory_only)
-        directory_ = contact_->directory();
+        referral_->set_hosts(contact_->directory());
 }
 
 void model_follower::on_announcement(time_point now, std::vector<endpoint> const& hosts) {
+    referral_->on_announcement();
     apply(now, contact_->on_announcement(now, hosts));
 }
 
--- a/tests/model_follower.h
+++ b/tests/model_follower.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "toucanusher/connection/control_contact.h"
+#include "toucanusher/version/host_referral.h"
 
 namespace toucanusher::tests {
 
@@ -14,7 +15,9 @@
   public:
     model_follower(endpoint address, bool redirects) : address_(address), redirects_(redirects) {}
 
-    void start(time_point now, std::vector<endpoint> seeds, std::size_t first_seed);
+    // `is_first_start`: whether the fleet starts for the first time.
+    void start(time_point now, std::vector<endpoint> seeds, std::size_t first_seed,
+               bool is_first_start);
     void stop(time_point restart_at);
     void set_seeds(std::vector<endpoint> const& seeds);
 
@@ -26,8 +29,11 @@
     [[nodiscard]] std::optional<endpoint> on_tick(time_point now);
     void on_update(time_point now, endpoint from, state_update const& update);
     void on_announcement(time_point now, std::vector<endpoint> const& hosts);
-    // Returns the control hosts that this process names to others.
-    [[nodiscard]] std::vector<endpoint> const& directory() const { return directory_; }
+    // Returns the control hosts that this process names to daemons, and to a searching host.
+    [[nodiscard]] std::vector<endpoint> const& directory() const { return referral_->hosts(); }
+    [[nodiscard]] std::vector<endpoint> referral(time_point now, endpoint searching_host) {
+        return referral_->hosts_for(now, searching_host);
+    }
     // Returns whether the host in use answers and is in contact with a leader.
     [[nodiscard]] bool has_session() const;
     [[nodiscard]] bool had_session_since(time_point time) const { return last_session_ >= time; }
@@ -40,7 +46,7 @@
     endpoint address_;
     bool redirects_;
     std::optional<control_contact> contact_; // empty while the process is down
-    std::vector<endpoint> directory_;        // confirmed by the answer of a control host
+    std::optional<host_referral> referral_;  // as long as contact_
     time_point restart_at_{};
     time_point next_heartbeat_{};
     time_point last_session_{}; // last time with a session
