Follow a directory to another of its hosts each time

Callers: a redirector, and with it every daemon that has no other seed, could stay without control for good after a loss of power.

Cause: a directory led a process to the host at a fixed position, the hash of its name. If that host did not answer, the process went on to its next seed, and the next announcement, 250 ms later, led it back to the same host.

Change: the position advances each time a directory is followed.

Tests: control_contact_test "repeated announcements lead to every announced host" fails for two of three positions before and passes after. The model also plays fleets of three and of seven hosts (two lost disks), and hosts that do not announce themselves as a planted fault.

--- a/include/toucanusher/version/control_host_selector.h
+++ b/include/toucanusher/version/control_host_selector.h
@@ -27,14 +27,14 @@
     void set_directory(std::vector<endpoint> hosts);
     // Selects the next host because the current one does not answer.
     void switch_host();
-    // Selects a host of the directory, other than the current one. Returns false, and changes
-    // nothing, if it names no other.
+    // Selects a host of the directory, other than the current one, and the next one when called
+    // again. Returns false, and changes nothing, if it names no other.
     [[nodiscard]] bool follow_directory(std::vector<endpoint> hosts);
 
   private:
     void rebuild();
 
-    std::size_t start_;
+    std::size_t next_in_directory_; // advances, since a host of the directory may not answer
     std::vector<endpoint> seeds_;
     std::vector<endpoint> directory_;
     std::vector<endpoint> hosts_; // never empty; contains the current host
--- a/src/version/control_host_selector.cpp
+++ b/src/version/control_host_selector.cpp
@@ -6,7 +6,8 @@
 namespace toucanusher {
 
 control_host_selector::control_host_selector(std::vector<endpoint> seeds, std::size_t start)
-    : start_(start), seeds_(std::move(seeds)), hosts_(seeds_), current_(start % hosts_.size()) {}
+    : next_in_directory_(start), seeds_(std::move(seeds)), hosts_(seeds_),
+      current_(start % hosts_.size()) {}
 
 void control_host_selector::set_seeds(std::vector<endpoint> seeds) {
     seeds_ = std::move(seeds);
@@ -31,7 +32,7 @@
         return false;
     directory_ = std::move(hosts);
     rebuild();
-    endpoint const next = others[start_ % others.size()];
+    endpoint const next = others[next_in_directory_++ % others.size()];
     current_ =
         static_cast<std::size_t>(std::find(hosts_.begin(), hosts_.end(), next) - hosts_.begin());
     return true;
--- a/tests/control_contact_test.cpp
+++ b/tests/control_contact_test.cpp
@@ -13,6 +13,8 @@
 
 constexpr endpoint a{1, 7000};
 constexpr endpoint b{2, 7000};
+constexpr endpoint c{3, 7000};
+constexpr endpoint redirector{9, 7000};
 
 // A daemon whose heartbeats every host answers, with the age of its contact with a leader.
 struct answered_daemon {
@@ -69,6 +71,22 @@
     CHECK(contact.on_tick(now + milliseconds{350}) == contact_step::connect);
 }
 
+// Guards against a process that follows every announcement to the same host, which does not answer.
+TEST_CASE("repeated announcements lead to every announced host") {
+    for (std::size_t start = 0; start < 3; ++start) {
+        time_point now{std::chrono::hours{1}};
+        control_contact contact({}, {{redirector}, start}, now);
+        std::set<endpoint> tried;
+        for (time_point const end = now + seconds{3}; now < end; now += milliseconds{10}) {
+            if (now.time_since_epoch() % milliseconds{250} == duration{})
+                (void)contact.on_announcement(now, {a, b, c});
+            (void)contact.on_tick(now);
+            tried.insert(contact.host());
+        }
+        CHECK(tried == std::set<endpoint>{redirector, a, b, c});
+    }
+}
+
 TEST_CASE("an announcement does not interrupt a working session") {
     answered_daemon daemon;
     (void)daemon.run(seconds{1}, milliseconds{100});
--- a/tests/control_discovery_test.cpp
+++ b/tests/control_discovery_test.cpp
@@ -120,4 +120,28 @@
     }
 }
 
+// Three hosts leave no learner to replace a voter; seven tolerate the loss of two disks.
+TEST_CASE("every daemon finds control in smaller and larger fleets") {
+    for (std::uint32_t const machines : {3U, 7U})
+        for (std::uint64_t seed = 1; seed <= environment_number("TOUCANUSHER_FUZZ_RUNS", 40);
+             ++seed) {
+            host_model_options options = options_with_followers();
+            options.machines = machines;
+            options.tolerated_losses = machines == 7 ? 2 : 1;
+            auto const violation = host_model(options, seed).run();
+            INFO(machines, " hosts, seed ", seed);
+            CHECK_MESSAGE(!violation, violation.value_or(""));
+        }
+}
+
+TEST_CASE("the model detects control hosts that announce themselves to no seed") {
+    std::uint64_t found = 0;
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+        host_model_options options = options_with_followers();
+        options.drop_announcements = true;
+        found += host_model(options, seed).run() ? 1 : 0;
+    }
+    CHECK(found > 0);
+}
+
 } // namespace toucanusher::tests
--- a/tests/host_model.h
+++ b/tests/host_model.h
@@ -28,6 +28,7 @@
     // Number of redirectors among the three seeds of the first start. If there are any, redirectors
     // restart while the hosts form the log.
     std::uint32_t redirector_seeds = 0;
+    bool drop_announcements = false; // injected fault: hosts announce themselves to no seed
     bool keep_identity = false; // injected fault: a host that lost its disk votes under its old id
     std::function<void(std::string const&)> trace;
 };
@@ -98,6 +99,8 @@
     model_follower* follower_at(endpoint address);
     [[nodiscard]] bool connected(machine const& a, machine const& b) const;
     [[nodiscard]] std::size_t count_faulty() const;
+    // Returns whether no host is faulty and no disk was slow recently.
+    [[nodiscard]] bool is_calm() const;
     [[nodiscard]] bool chance(double probability) {
         return uniform_fraction(random_) < probability;
     }
