--- a/programs/explain.cpp
+++ b/programs/explain.cpp
@@ -41,6 +41,8 @@
                                                  "disk_failed",
                                                  "disk_recovered",
                                                  "control_silent",
+                                                 "control_session",
+                                                 "founds",
                                                  "control_peer_silent",
                                                  "configuration_in_force"};
     return events.contains(record.event);
