--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -482,31 +482,6 @@
     apply_log_output(now, std::move(output));
 }
 
-void control_host::run_host_change(time_point now, client_id from, std::string const& id,
-                                   change_hosts const& change) {
-    log_members members = log_.members();
-    std::erase(members.learners, change.host);
-    if (change.change == host_change::add_learner)
-        members.learners.push_back(change.host);
-    else if (change.change == host_change::promote)
-        members.voters.push_back(change.host);
-    else
-        std::erase(members.voters, change.host);
-    if (members == log_.members() && log_.members_committed()) {
-        reply(from, id, host_change_done{members});
-        return;
-    }
-    log_output output;
-    auto const index = log_.propose_members(now, members, output);
-    if (!index.ok()) {
-        refuse(from, id, control_refusal::host_change_refused,
-               std::string(index.status().message()));
-        return;
-    }
-    pending_writes_[*index] = {from, id, log_.term(), true};
-    apply_log_output(now, std::move(output));
-}
-
 void control_host::refuse(client_id to, std::string const& id, control_refusal reason,
                           std::string detail) {
     output_.refusals.push_back(reason);
--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -82,6 +82,31 @@
     });
 }
 
+void control_host::run_host_change(time_point now, client_id from, std::string const& id,
+                                   change_hosts const& change) {
+    log_members members = log_.members();
+    std::erase(members.learners, change.host);
+    if (change.change == host_change::add_learner)
+        members.learners.push_back(change.host);
+    else if (change.change == host_change::promote)
+        members.voters.push_back(change.host);
+    else
+        std::erase(members.voters, change.host);
+    if (members == log_.members() && log_.members_committed()) {
+        reply(from, id, host_change_done{members});
+        return;
+    }
+    log_output output;
+    auto const index = log_.propose_members(now, members, output);
+    if (!index.ok()) {
+        refuse(from, id, control_refusal::host_change_refused,
+               std::string(index.status().message()));
+        return;
+    }
+    pending_writes_[*index] = {from, id, log_.term(), true};
+    apply_log_output(now, std::move(output));
+}
+
 void control_host::propose_host_plan(time_point now) {
     if (log_.role() != log_role::leader || now < next_plan_at_ || !log_.members_committed())
         return;
