--- a/tests/control_host_test.cpp
+++ b/tests/control_host_test.cpp
@@ -207,7 +207,7 @@
 
 } // namespace
 
-TEST_CASE("only an empty host on a first start founds, and only at the word of the lowest seed") {
+TEST_CASE("only an empty host on a first start founds, if the lowest seed appoints it") {
     CHECK_FALSE(referred_host(false).founds(lowest_seed, {host_address}));
     CHECK_FALSE(referred_host(true).founds(other_seed, {host_address}));
     CHECK_FALSE(referred_host(true).founds(lowest_seed, {}));
