Log gaps in a daemon's updates and updates that are sent again

A daemon now logs update_gap (own version, base of the refused update, newest version of the sender), a control host logs updates_repeated (daemon, its version, newest version sent), both limited to a line a second, with counters. No change of logic.

--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -68,6 +68,12 @@
     endpoint address;
     control_message message;
 };
+// Updates that are sent again to a daemon that has not applied them.
+struct repeated_updates {
+    std::string daemon;
+    version_number applied{}; // by the daemon; the versions after it are sent again
+    version_number sent{};    // newest version that was sent before
+};
 struct control_output {
     std::vector<send_to_host> to_hosts;
     std::vector<send_to_address> to_addresses;
@@ -75,6 +81,7 @@
     std::vector<send_to_client> to_clients;
     std::vector<disk_write> writes;
     std::vector<control_refusal> refusals; // to count in metrics
+    std::vector<repeated_updates> repeats; // to log and count
 };
 
 class control_host {
--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -350,6 +350,8 @@
     void execute_output(control_output output) {
         for (control_refusal const reason : output.refusals)
             context_.counters.count_refusal("control", to_string(reason));
+        for (repeated_updates const& repeat : output.repeats)
+            record_repeat(repeat);
         if (!output.writes.empty() && !writes_.try_push(std::move(output.writes))) {
             // A host that cannot store writes must not acknowledge any, so it stops.
             stop_with_error("disk_ring_full", "the disk cannot keep up with the log");
@@ -365,6 +367,14 @@
             answer_call(answer);
     }
 
+    void record_repeat(repeated_updates const& repeat) {
+        context_.counters.count("updates_repeated");
+        context_.events->rate_limited_warning(event_line("updates_repeated")
+                                                  .add("daemon", repeat.daemon)
+                                                  .add("applied", value_of(repeat.applied))
+                                                  .add("sent", value_of(repeat.sent)));
+    }
+
     [[nodiscard]] std::optional<endpoint> find_address(host_id host) const {
         if (auto const address = host_->address_of(host))
             return address;
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -194,8 +194,15 @@
     if (outcome == update_outcome::malformed)
         context_.counters.count_refusal("control", "malformed_update");
     // The missing update may still be in transit, so it is not requested at once.
-    if (outcome == update_outcome::gap)
+    if (outcome == update_outcome::gap) {
         has_gap_ = true;
+        context_.counters.count("update_gaps");
+        context_.events->rate_limited_warning(event_line("update_gap")
+                                                  .add("host", to_string(contact_.host()))
+                                                  .add("own", value_of(before))
+                                                  .add("base", value_of(update->base))
+                                                  .add("newest", value_of(update->newest)));
+    }
     last_contact_ = now;
     applied_ = value_of(follower_.version());
     context_.counters.set("applied_version", static_cast<double>(applied_));
--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -115,8 +115,11 @@
     from.follows_state = message.follows_state;
     from.last_contact = now;
     // Updates after `applied` that were sent a report interval ago are lost or refused; send again.
-    if (now - from.sent_at > options_.report_interval || from.sent < message.applied)
+    if (now - from.sent_at > options_.report_interval || from.sent < message.applied) {
+        if (message.follows_state && from.sent > message.applied)
+            output_.repeats.push_back({message.name, message.applied, from.sent});
         from.sent = message.applied;
+    }
     from.report = {message.name, message.role, message.applied, {}, std::nullopt};
     for (upstream_announcement const& announcement : message.upstreams) {
         upstream_record const* const current =
