Repeat lost updates to a daemon however many follow

Cause: a control host repeated updates only if no other update had been sent to that daemon for 0.5 s. Each new update restarted the wait and moved the sent version on, so a daemon that had lost one refused all later ones as a gap for as long as changes came more often than that.

Ruled out: a full link (300 kB arrived once, then 10 to 20 kB a second), a control host that is behind (balancers with wide links follow the same ones), a lost session (none).

Change: update_delivery keeps the updates that a daemon has not reported. The wait belongs to the oldest of them; it restarts when the daemon reports a newer version and with nothing else. A large update gets the time of its transfer at 250 kB/s on top, so it is not sent twice over a thin link. Nothing is repeated to a daemon that has been silent since. The wait is 400 ms from the oldest update instead of 500 ms from the newest.

--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -21,6 +21,7 @@
 #include "toucanusher/version/fleet_state.h"
 #include "toucanusher/version/lease_keeper.h"
 #include "toucanusher/version/state_follower.h"
+#include "toucanusher/version/update_delivery.h"
 
 namespace toucanusher {
 
@@ -33,6 +34,7 @@
     duration report_interval = std::chrono::milliseconds{500};
     duration client_timeout = std::chrono::seconds{10};     // a silent client gets no updates
     duration push_interval = std::chrono::milliseconds{20}; // commits within it share an update
+    update_delivery_options delivery;
     duration proposal_retry_interval = std::chrono::seconds{1};
     std::size_t retained_commands = 4096; // an older client gets a snapshot instead
     std::size_t max_commands_per_update = 256;
@@ -115,14 +117,14 @@
 
   private:
     struct client {
+        explicit client(update_delivery_options options) : delivery(options) {}
+
         std::string name;
         daemon_role role = daemon_role::balancer;
         std::uint64_t process_instance = 0;
         bool follows_state = true;
-        version_number applied{};
-        version_number sent{};
+        update_delivery delivery;
         time_point last_contact{};
-        time_point sent_at{};
         std::optional<log_index> confirmation_index; // entry whose application confirms the state
 
         daemon_report report;
@@ -158,7 +160,9 @@
     [[nodiscard]] bool changes_state(fleet_command const& command) const;
     void compact_if_due();
     void push_updates(time_point now);
+    void repeat_lost_updates(time_point now, client& to);
     void push_update(time_point now, client_id id, client& to);
+    void add_missing_versions(time_point now, update_delivery& delivery, state_update& update);
     void send_reports(time_point now);
     void record_report(time_point now, daemon_report const& report);
     void expire_members(time_point now);
--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -105,21 +105,16 @@
 }
 
 control_output control_host::on_heartbeat(time_point now, client_id id, heartbeat const& message) {
-    client& from = clients_[id];
+    auto const at = clients_.try_emplace(id, options_.delivery).first;
+    client& from = at->second;
     if (from.process_instance != message.process_instance || from.name != message.name)
-        from = client{};
+        from = client(options_.delivery);
     from.name = message.name;
     from.role = message.role;
     from.process_instance = message.process_instance;
-    from.applied = message.applied;
     from.follows_state = message.follows_state;
     from.last_contact = now;
-    // Updates after `applied` that were sent a report interval ago are lost or refused; send again.
-    if (now - from.sent_at > options_.report_interval || from.sent < message.applied) {
-        if (message.follows_state && from.sent > message.applied)
-            output_.repeats.push_back({message.name, message.applied, from.sent});
-        from.sent = message.applied;
-    }
+    from.delivery.on_report(now, message.applied);
     from.report = {message.name, message.role, message.applied, {}, std::nullopt};
     for (upstream_announcement const& announcement : message.upstreams) {
         upstream_record const* const current =
@@ -146,6 +141,7 @@
     pending_reports_.push_back(from.report);
     if (message.wants_confirmation)
         confirm_client(now, id, from);
+    repeat_lost_updates(now, from);
     push_update(now, id, from);
     return take_output();
 }
@@ -344,43 +340,58 @@
 void control_host::push_updates(time_point now) {
     if (now < next_push_at_)
         return;
-    for (auto& [id, to] : clients_)
-        if (to.follows_state && to.sent < state_->version()) {
+    for (auto& [id, to] : clients_) {
+        repeat_lost_updates(now, to);
+        if (to.follows_state && to.delivery.sent() < state_->version()) {
             push_update(now, id, to);
             next_push_at_ = now + options_.push_interval;
         }
+    }
+}
+
+void control_host::repeat_lost_updates(time_point now, client& to) {
+    version_number const sent = to.delivery.sent();
+    if (to.delivery.repeat_if_due(now))
+        output_.repeats.push_back({to.name, to.delivery.sent(), sent});
 }
 
 void control_host::push_update(time_point now, client_id id, client& to) {
     version_number const newest = state_->version();
     bool const confirms = to.confirmation_index && applied_index_ >= *to.confirmation_index;
-    std::uint64_t const oldest = value_of(newest) - commands_.size();
     state_update update;
     update.newest = newest;
-    update.base = to.sent;
+    update.base = to.delivery.sent();
     update.leader_contact_age = log_.leader_contact_age(now);
     update.control_hosts = host_addresses();
     if (confirms) {
         update.confirmed_instance = to.process_instance;
         to.confirmation_index.reset();
     }
-    if (!to.follows_state) {
-        to.sent = newest;
-    } else if (value_of(to.sent) < oldest) {
+    if (to.follows_state)
+        add_missing_versions(now, to.delivery, update);
+    output_.to_clients.push_back({id, std::move(update)});
+}
+
+// Adds the versions after the last one that was sent: commands, or a snapshot if they are no longer
+// retained.
+void control_host::add_missing_versions(time_point now, update_delivery& delivery,
+                                        state_update& update) {
+    std::uint64_t const sent = value_of(delivery.sent());
+    std::uint64_t const oldest = value_of(state_->version()) - commands_.size();
+    if (sent < oldest) {
         update.snapshot = codec_.encode_state(*state_);
-        to.sent = newest;
-    } else if (to.sent < newest) {
-        std::size_t const first = value_of(to.sent) - oldest;
-        std::size_t const last =
-            std::min(commands_.size(), first + options_.max_commands_per_update);
-        for (std::size_t i = first; i < last; ++i)
-            update.commands.push_back(commands_[i]);
-        to.sent = version_number{oldest + last};
+        delivery.on_sent(now, state_->version(), update.snapshot->size());
+        return;
     }
-    // An empty update must not delay the retransmission of a lost one.
-    if (update.snapshot || !update.commands.empty())
-        to.sent_at = now;
-    output_.to_clients.push_back({id, std::move(update)});
+    std::size_t const first = sent - oldest;
+    std::size_t const last = std::min(commands_.size(), first + options_.max_commands_per_update);
+    std::size_t bytes = 0;
+    for (std::size_t i = first; i < last; ++i) {
+        update.commands.push_back(commands_[i]);
+        bytes += commands_[i].size();
+    }
+    if (!update.commands.empty())
+        delivery.on_sent(now, version_number{oldest + last}, bytes);
 }
 
 void control_host::send_reports(time_point /*now*/) {
