--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,6 +2,8 @@
 // with malformed input.
 #include "platform/calls.h"
 
+#include <limits>
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
@@ -177,6 +179,70 @@
     CHECK_FALSE(decode_upstream_heartbeat("i-1", altered.dump()).ok());
 }
 
+TEST_CASE("deeply nested text is refused, with its place, and ends no process") {
+    auto const nested = [](std::size_t levels) {
+        return std::string(levels, '[') + std::string(levels, ']');
+    };
+    auto const with_unknown_field = [](std::string const& value) {
+        std::string text = example_configuration().dump();
+        text.insert(text.find("\"Attempts\""), "\"Odd\":" + value + ",");
+        return text;
+    };
+    CHECK(put_status(with_unknown_field(nested(20))) == 200);
+    // As deep as the largest body that is accepted allows, on the smallest stack of a thread.
+    for (std::size_t const levels : {100UL, 60'000UL, 1'000'000UL, 8'000'000UL}) {
+        CAPTURE(levels);
+        CHECK(put_status(with_unknown_field(nested(levels))) == 400);
+        CHECK(put_status(nested(levels)) == 400);
+        CHECK(put_status(std::string(levels, '[')) == 400);
+        CHECK_FALSE(decode_upstream_heartbeat("i-1", R"({"Odd":)" + nested(levels) + "}").ok());
+    }
+    auto const refused = decode_configuration(with_unknown_field(nested(40)));
+    CHECK(refused.status().message().find("Routes[0].Odd[0]") != std::string_view::npos);
+    std::string objects;
+    for (int i = 0; i < 60'000; ++i)
+        objects += R"({"a":)";
+    CHECK(put_status(objects + "1" + std::string(60'000, '}')) == 400);
+}
+
+TEST_CASE("numbers of an upstream's heartbeat have bounds") {
+    json const valid = json::parse(
+        R"({"Service":"x","Address":"10.128.0.9:8080","Zone":"a","Version":"v1","Concurrency":5,
+            "Phase":"ready","WarmupLeftMs":1500,"Sequence":4,"born":1774393543000})");
+    for (char const* key : {"Concurrency", "WarmupLeftMs", "Sequence", "born"})
+        for (json const& odd : {json(std::numeric_limits<std::uint64_t>::max()), json(1ULL << 63U),
+                                json(-1), json(1e30), json(1.5), json("4"), json(nullptr)}) {
+            CAPTURE(key);
+            CAPTURE(odd.dump());
+            json altered = valid;
+            altered[key] = odd;
+            CHECK_FALSE(decode_upstream_heartbeat("i-1", altered.dump()).ok());
+        }
+    for (char const* address : {"10.128.0.9:99999", "10.128.0.9:0", "10.128.0.9:-1", "10.0.0.9"}) {
+        json altered = valid;
+        altered["Address"] = address;
+        CHECK_FALSE(decode_upstream_heartbeat("i-1", altered.dump()).ok());
+    }
+    std::string enormous = valid.dump();
+    enormous.replace(enormous.find("1500"), 4, "1e999");
+    CHECK_FALSE(decode_upstream_heartbeat("i-1", enormous).ok());
+}
+
+TEST_CASE("an upstream's heartbeat that cannot be read gets an answer") {
+    upstream_calls calls;
+    calls.announce = [](upstream_heartbeat const&,
+                        std::function<void(heartbeat_effect)> const& respond) {
+        respond(heartbeat_effect::renewed);
+    };
+    http_handler const handler = make_front_end().upstream_api(calls);
+    for (std::string const body : {"\xff\xfe", "{\"Service\":\"\xc3\x28\"}", "", "{", "5", "\"x"}) {
+        int status = 0;
+        handler({"PUT", "/api/instances/i-1", "", {}, body},
+                [&](http_response const& response) { status = response.status; });
+        CHECK(status == 400);
+    }
+}
+
 TEST_CASE("late upstream heartbeats are ignored") {
     upstream_incarnation incarnation("x");
     upstream_heartbeat message;
