--- a/src/process/io/log_store.cpp
+++ b/src/process/io/log_store.cpp
@@ -4,6 +4,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
@@ -24,6 +25,7 @@
 constexpr char const* log_file_name = "log";
 constexpr char const* snapshot_file_name = "snapshot";
 constexpr std::size_t frame_header_bytes = sizeof(std::uint32_t) + sizeof(std::uint64_t);
+// The log is rewritten once it is larger than this and than twice its size after the last rewrite.
 constexpr std::uint64_t rewrite_threshold_bytes = 8U << 20U;
 
 std::string read_file(std::string const& path) {
@@ -155,10 +157,11 @@
             return status;
         if (auto const status = write_snapshot(*write.snapshot); !status.ok())
             return status;
+        rewritten_bytes_ = 0; // the log may hold little that is still needed
     }
     if (auto const status = flush(bytes); !status.ok())
         return status;
-    if (log_bytes_ > rewrite_threshold_bytes)
+    if (log_bytes_ > std::max(rewrite_threshold_bytes, 2 * rewritten_bytes_))
         if (auto const status = rewrite_log(); !status.ok())
             return status;
     failed_ = false;
@@ -257,6 +260,7 @@
     if (log_file_ < 0)
         return io_error("cannot open", path);
     log_bytes_ = bytes.size();
+    rewritten_bytes_ = log_bytes_;
     return absl::OkStatus();
 }
 
--- a/src/process/io/log_store.h
+++ b/src/process/io/log_store.h
@@ -57,7 +57,9 @@
     bool was_empty_ = true;
     std::uint64_t truncated_bytes_ = 0;
     std::uint64_t log_bytes_ = 0;
-    durable_log current_; // in-memory copy of the stored log, used to rewrite it
+    // Size of the log after its last rewrite; 0 if a snapshot was written since.
+    std::uint64_t rewritten_bytes_ = 0;
+    durable_log current_;               // in-memory copy of the stored log, used to rewrite it
 };
 
 // Returns the body framed as a record: length, checksum, body.
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -4,8 +4,6 @@
 #include <fstream>
 #include <string>
 
-#include <unistd.h>
-
 #include <absl/strings/escaping.h>
 #include <doctest/doctest.h>
 
@@ -16,6 +14,7 @@
 #include "src/request/request_codec.h"
 #include "src/version/control_codec.h"
 #include "src/version/fleet_codec.h"
+#include "tests/scratch_folder.h"
 #include "toucanusher/process/event_line.h"
 
 namespace toucanusher::tests {
@@ -35,14 +34,6 @@
     return keys;
 }
 
-// A temporary directory that its destructor removes.
-struct scratch_folder {
-    std::string path =
-        std::filesystem::temp_directory_path() / ("toucanusher-test-" + std::to_string(::getpid()));
-    scratch_folder() { std::filesystem::remove_all(path); }
-    ~scratch_folder() { std::filesystem::remove_all(path); }
-};
-
 disk_write make_write(log_index index, std::string payload) {
     disk_write write;
     write.sequence = index;
