Bound the commands that a control host holds by their bytes

What callers would see: a control host holds up to 4,096 commands in its log, in the copy of its disk and for daemons that lag. Changes of 1,400 routes take 0.3 MB each, so 80 MB, the limit on the grown deployments, are reached after about 90 of them, and 64 MB of disk after about 100: the host is ended, or its disk is full for good, and changes stay unanswered.

Cause: entries and retained commands were bounded by number only.

--- a/include/toucanusher/process/replicated_log.h
+++ b/include/toucanusher/process/replicated_log.h
@@ -34,7 +34,9 @@
     // the next one must follow soon.
     std::optional<duration> first_election_timeout;
     std::size_t max_entries_per_message = 256;
-    std::size_t kept_entries_after_snapshot = 1024; // so that slow followers need no snapshot
+    // So that slow followers need no snapshot. The oldest entries go once either is exceeded.
+    std::size_t kept_entries_after_snapshot = 1024;
+    std::size_t kept_bytes_after_snapshot = 4U << 20U;
 };
 
 // Fault injection for tests: each switch disables one safety rule, to show that the checks detect
@@ -99,6 +101,8 @@
     // Returns false while the newest membership change is uncommitted and may be rolled back.
     [[nodiscard]] bool members_committed() const { return members_index_ <= commit_; }
     [[nodiscard]] std::size_t entry_count() const { return entries_.size(); }
+    // Bytes of the commands in the entries that this host holds in memory.
+    [[nodiscard]] std::size_t entry_bytes() const;
     // Returns true if this host leads and has committed an entry of its own term.
     [[nodiscard]] bool serves_reads() const;
     // Returns the time since the last contact with the leader, or, at the leader, since a majority
--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -36,10 +36,14 @@
     duration push_interval = std::chrono::milliseconds{20}; // commits within it share an update
     update_delivery_options delivery;
     duration proposal_retry_interval = std::chrono::seconds{1};
-    std::size_t retained_commands = 4096; // an older client gets a snapshot instead
+    // A client that lacks older commands gets a snapshot instead.
+    std::size_t retained_commands = 4096;
+    std::size_t retained_command_bytes = 4U << 20U;
     std::size_t max_commands_per_update = 256;
     std::size_t max_pending_writes = 1024;
+    // A snapshot is taken after this many entries or bytes of commands.
     log_index entries_per_snapshot = 4096;
+    std::size_t command_bytes_per_snapshot = 4U << 20U;
     std::function<wall_time()> wall_clock; // timestamps membership changes; must be set
     // If set, hosts find each other, join and are replaced without an operator.
     std::optional<host_plan_options> automatic_hosts;
@@ -153,6 +157,7 @@
     control_output take_output();
     void apply_log_output(time_point now, log_output output);
     void apply(time_point now, log_entry const& entry);
+    void retain_command(std::string const& command);
     void restore(log_snapshot const& snapshot);
     void update_leadership(time_point now);
     void propose(time_point now, fleet_command command);
@@ -198,7 +203,9 @@
     std::shared_ptr<fleet_state> state_; // the state after entry applied_
     log_index applied_index_ = 0;        // newest entry applied to state_
     log_index compacted_index_ = 0;
+    std::size_t bytes_since_compaction_ = 0; // of applied commands
     std::deque<std::string> commands_; // the newest ones, encoded; the last one produced state_
+    std::size_t command_bytes_ = 0;    // of commands_
     std::map<client_id, client> clients_;
     std::map<log_index, pending_write> pending_writes_;
     std::map<std::uint64_t, pending_read> pending_reads_; // by token
--- a/src/process/replicated_log.cpp
+++ b/src/process/replicated_log.cpp
@@ -1,6 +1,7 @@
 #include "toucanusher/process/replicated_log.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace toucanusher {
@@ -142,7 +143,10 @@
             members = *entry.members;
     snapshot_ = {index, *term_at(index), std::move(members), std::move(state)};
     open_write().snapshot = snapshot_;
-    while (entries_.size() > options_.kept_entries_after_snapshot && first_index_ <= index) {
+    std::size_t bytes = entry_bytes();
+    while (first_index_ <= index && (entries_.size() > options_.kept_entries_after_snapshot ||
+                                     bytes > options_.kept_bytes_after_snapshot)) {
+        bytes -= entries_.front().payload.size();
         entries_.pop_front();
         ++first_index_;
     }
@@ -153,6 +157,12 @@
     return first_index_ + entries_.size() - 1;
 }
 
+std::size_t replicated_log::entry_bytes() const {
+    return std::accumulate(
+        entries_.begin(), entries_.end(), std::size_t{0},
+        [](std::size_t bytes, log_entry const& entry) { return bytes + entry.payload.size(); });
+}
+
 bool replicated_log::serves_reads() const {
     return role_ == log_role::leader && term_at(commit_) == state_.term;
 }
--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -229,9 +229,7 @@
             result = state_->apply(*command);
             if (std::holds_alternative<edit_configuration>(*command))
                 configurations_.on_edit_applied();
-            commands_.push_back(entry.payload);
-            if (commands_.size() > options_.retained_commands)
-                commands_.pop_front();
+            retain_command(entry.payload);
             proposed_at_.erase(codec_.encode_command(without_proposal_time(*command)));
         }
     }
@@ -248,6 +246,17 @@
         reply(done.client, done.request, *result);
 }
 
+void control_host::retain_command(std::string const& command) {
+    commands_.push_back(command);
+    command_bytes_ += command.size();
+    bytes_since_compaction_ += command.size();
+    while (commands_.size() > options_.retained_commands ||
+           command_bytes_ > options_.retained_command_bytes) {
+        command_bytes_ -= commands_.front().size();
+        commands_.pop_front();
+    }
+}
+
 void control_host::restore(log_snapshot const& snapshot) {
     auto state = codec_.decode_state(snapshot.state);
     if (!state.ok()) {
@@ -257,6 +266,8 @@
     applied_index_ = snapshot.index;
     compacted_index_ = snapshot.index;
     commands_.clear();
+    command_bytes_ = 0;
+    bytes_since_compaction_ = 0;
 }
 
 void control_host::update_leadership(time_point now) {
@@ -329,9 +340,11 @@
 }
 
 void control_host::compact_if_due() {
-    if (applied_index_ < compacted_index_ + options_.entries_per_snapshot)
+    if (applied_index_ < compacted_index_ + options_.entries_per_snapshot &&
+        bytes_since_compaction_ < options_.command_bytes_per_snapshot)
         return;
     compacted_index_ = applied_index_;
+    bytes_since_compaction_ = 0;
     log_output output = log_.compact(applied_index_, codec_.encode_state(*state_));
     for (disk_write& write : output.writes)
         output_.writes.push_back(std::move(write));
--- a/tests/control_host_test.cpp
+++ b/tests/control_host_test.cpp
@@ -1,4 +1,5 @@
 // Tests a control host with its clients: lost updates, lagging daemons and the rights of operators.
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -108,6 +109,32 @@
     CHECK(follower.version() == control.host->state().version());
 }
 
+TEST_CASE("a host with large commands holds no more of them than a few megabytes") {
+    single_host control;
+    state_follower follower(make_state_codec(), 7);
+    std::size_t held = 0;
+    for (std::uint64_t number = 1; number <= 60; ++number) {
+        configuration made;
+        made.number = number;
+        made.services = {{"s", "/", 5, "service"}};
+        for (std::uint32_t i = 0; i < 1400; ++i) {
+            route item{"r" + std::to_string(i), {i, 443}, {}, {}, {}, 0, {{"s", 1}}, {}};
+            item.document = std::to_string(number) + std::string(200, 'x');
+            made.routes.push_back(std::move(item));
+        }
+        (void)control.sync(control.host->on_configuration(control.clock.now(), number, made));
+        REQUIRE(control.host->state().routes()->number == number);
+        held = std::max(held, control.host->log().entry_bytes());
+    }
+    CHECK(held < 16'000'000);
+    auto const output = control.send_heartbeat({});
+    REQUIRE(output.to_clients.size() == 1);
+    auto const& update = std::get<state_update>(output.to_clients.front().message);
+    CHECK(update.snapshot.has_value()); // smaller than the commands would be
+    CHECK(follower.on_update(control.clock.now(), update) == update_outcome::applied);
+    CHECK(follower.state()->routes()->number == 60);
+}
+
 TEST_CASE("a follower ignores older state and reports a gap") {
     state_follower follower(make_state_codec(), 7);
     fleet_state state;
