Judge the link to a control host by acknowledgements on that link

What callers would see: connections between control hosts that go silent without a reset while new ones work may stay silent for good. A host that the leader's messages do not reach asks to join four times a second, keeps its vote, is not replaced, and no entry reaches it; with enough such links there is no leader.

Cause: the same class as the lost updates: the wait for a repair was restarted by events that do not show progress. Any message of a peer restarted it, but a peer sends over a connection of its own, so its messages say nothing about this one.

Evidence: paths_test; with contacts counted as answers, as before, the first new case sees no replacement in 2 s and fails.

Change: a control host or redirector acknowledges messages of control hosts on the link on which they arrive, at most once in 150 ms. The sender replaces a link without an acknowledgement for 600 ms.

--- a/include/toucanusher/version/control_message.h
+++ b/include/toucanusher/version/control_message.h
@@ -215,8 +215,12 @@
     std::string content;
 };
 
-using control_message = std::variant<heartbeat, state_update, operator_request, operator_reply,
-                                     log_message, forwarded_commands, lease_report, index_query,
-                                     index_answer, host_message, join_request, join_answer>;
+// Sent back on the link on which a host_message arrived, so that its sender knows the link works.
+struct link_acknowledgement {};
+
+using control_message =
+    std::variant<heartbeat, state_update, operator_request, operator_reply, log_message,
+                 forwarded_commands, lease_report, index_query, index_answer, host_message,
+                 join_request, join_answer, link_acknowledgement>;
 
 } // namespace toucanusher
--- a/programs/control_links.cpp
+++ b/programs/control_links.cpp
@@ -2,21 +2,33 @@
 
 #include <utility>
 
+#include "src/version/control_codec.h"
+
 namespace toucanusher {
 
 namespace {
 
-// A link that stays unanswered for this long is reconnected: a connection can stop delivering for
-// good while new ones work. Spans several heartbeats of the log and is well below an election.
+// A link that stays unanswered for this long is reconnected. Spans several heartbeats of the log
+// and acknowledgements, and is not longer than the shortest election timeout.
 constexpr duration answer_timeout = std::chrono::milliseconds{600};
 constexpr duration idle_timeout = std::chrono::seconds{10};
+// At most one acknowledgement a link within this time.
+constexpr duration acknowledgement_interval = std::chrono::milliseconds{150};
+constexpr std::size_t max_links = 256;
 
 } // namespace
 
 void control_links::send(time_point now, endpoint address, std::string const& sealed) {
-    peer& entry = peers_[address];
+    peer& entry = peers_
+                      .try_emplace(address, peer{peer_link_monitor{answer_timeout},
+                                                 now,
+                                                 std::make_shared<std::atomic<bool>>(false),
+                                                 {}})
+                      .first->second;
     if (!entry.link) {
-        auto link = link_client::open(address, [](std::string const&) {});
+        // The only messages on a link that this host opened are acknowledgements.
+        auto link = link_client::open(address, [acknowledged = entry.acknowledged](
+                                                   std::string const&) { *acknowledged = true; });
         if (!link.ok()) {
             context_.events->rate_limited_warning(
                 event_line("control_link_failed").add("reason", link.status().ToString()));
@@ -25,15 +37,14 @@
         entry.link = *std::move(link);
     }
     entry.last_sent = now;
-    if (!entry.unanswered_since)
-        entry.unanswered_since = now;
+    entry.monitor.on_sent(now);
     if (!entry.link->send(sealed))
         context_.counters.count_refusal("control", "link_send_failed");
 }
 
 void control_links::record_contact(endpoint address) {
     if (auto const found = peers_.find(address); found != peers_.end())
-        found->second.unanswered_since.reset();
+        found->second.monitor.on_contact();
 }
 
 void control_links::on_tick(time_point now) {
@@ -43,8 +54,9 @@
             at = peers_.erase(at);
             continue;
         }
-        if (entry.unanswered_since && now - *entry.unanswered_since > answer_timeout) {
-            entry.unanswered_since = now;
+        if (entry.acknowledged->exchange(false))
+            entry.monitor.on_acknowledged();
+        if (entry.link && entry.monitor.replace_if_unanswered(now)) {
             entry.link->reconnect();
             context_.counters.count("link_replaced");
             context_.events->rate_limited_warning(
@@ -54,4 +66,17 @@
     }
 }
 
+void control_link_acknowledger::on_host_message(time_point now, link_server& server,
+                                                link_peer from) {
+    auto const [at, is_new] = acknowledged_at_.try_emplace(from, now);
+    if (!is_new && now - at->second < acknowledgement_interval)
+        return;
+    at->second = now;
+    if (!server.send(from, context_.sealer->seal(encode_control_message(link_acknowledgement{}))))
+        context_.counters.count_refusal("control", "link_send_failed");
+    // Links have ascending numbers, so the first is the oldest; it may have closed long ago.
+    if (acknowledged_at_.size() > max_links)
+        acknowledged_at_.erase(acknowledged_at_.begin());
+}
+
 } // namespace toucanusher
--- a/programs/control_links.h
+++ b/programs/control_links.h
@@ -2,13 +2,14 @@
 // when there has been nothing for a while.
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "programs/process_context.h"
 #include "src/process/io/link.h"
+#include "toucanusher/connection/peer_link_monitor.h"
 
 namespace toucanusher {
 
@@ -18,20 +19,35 @@
     explicit control_links(process_context& context) : context_(context) {}
 
     void send(time_point now, endpoint address, std::string const& sealed);
-    // Records that a message from the host at this address has arrived.
+    // Records that a message from the host at this address has arrived on a link that it opened.
     void record_contact(endpoint address);
     // Replaces links that stay unanswered and closes idle ones.
     void on_tick(time_point now);
 
   private:
     struct peer {
-        std::unique_ptr<link_client> link;
+        peer_link_monitor monitor;
         time_point last_sent{};
-        std::optional<time_point> unanswered_since;
+        // Set by the receive duty of the link.
+        std::shared_ptr<std::atomic<bool>> acknowledged;
+        std::unique_ptr<link_client> link;
     };
 
     process_context& context_;
     std::map<endpoint, peer> peers_;
 };
 
+// Acknowledges messages of control hosts on the links on which they arrive, so that their senders
+// can tell a working link from a silent one. Not thread-safe.
+class control_link_acknowledger {
+  public:
+    explicit control_link_acknowledger(process_context& context) : context_(context) {}
+
+    void on_host_message(time_point now, link_server& server, link_peer from);
+
+  private:
+    process_context& context_;
+    std::map<link_peer, time_point> acknowledged_at_; // at most max_links
+};
+
 } // namespace toucanusher
--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -61,7 +61,7 @@
   public:
     control_process(process_context& context, operator_api_hook operator_api)
         : context_(context), operator_api_(std::move(operator_api)), events_(event_ring_size),
-          writes_(disk_ring_size), disk_retry_stop_(1), links_(context) {}
+          writes_(disk_ring_size), disk_retry_stop_(1), links_(context), acknowledger_(context) {}
 
     ~control_process() override {
         admin_.reset();
@@ -326,17 +326,18 @@
                 context_.events->info(
                     event_line("founds").add("appointed_by", to_string(directory->sender)));
         } else {
-            on_peer_message(now, *message);
+            on_peer_message(now, received.peer, *message);
         }
     }
 
     // Messages of other control hosts are wrapped in a host_message that names their sender.
-    void on_peer_message(time_point now, control_message const& message) {
+    void on_peer_message(time_point now, link_peer from, control_message const& message) {
         auto const* wrapped = std::get_if<host_message>(&message);
         if (wrapped == nullptr) {
             context_.counters.count_refusal("control", "unexpected_message");
             return;
         }
+        acknowledger_.on_host_message(now, *server_, from);
         auto inner = decode_control_message(wrapped->content);
         if (!inner.ok()) {
             context_.counters.count_refusal("control", "malformed");
@@ -480,10 +481,11 @@
     operator_api_hook operator_api_;
     ring<control_event> events_;
     ring<std::vector<disk_write>> writes_;
-    ring<bool> disk_retry_stop_;       // never filled; closing it ends the disk duty's retry delay
-    control_links links_;              // used by the decide duty only
-    std::unique_ptr<log_store> store_; // after start() used by the disk duty only
-    std::unique_ptr<control_host> host_; // after start() used by the decide duty only
+    ring<bool> disk_retry_stop_; // never filled; closing it ends the disk duty's retry delay
+    control_links links_;        // used by the decide duty only
+    control_link_acknowledger acknowledger_; // likewise
+    std::unique_ptr<log_store> store_;       // after start() used by the disk duty only
+    std::unique_ptr<control_host> host_;     // after start() used by the decide duty only
     std::unique_ptr<link_server> server_;
     std::unique_ptr<http_server> api_;
     std::unique_ptr<http_server> readiness_;
--- a/programs/control_redirector.cpp
+++ b/programs/control_redirector.cpp
@@ -80,7 +80,7 @@
         : context_(context), config_(*context.config.discovered_control),
           operator_api_(std::move(operator_api)),
           control_hosts_(make_referral_options(context.config), context.clock.now()),
-          events_(event_ring_size), links_(context) {}
+          events_(event_ring_size), links_(context), acknowledger_(context) {}
 
     ~control_redirector() override {
         admin_.reset();
@@ -180,7 +180,7 @@
         else if (std::holds_alternative<heartbeat>(*message))
             answer_daemon(peer);
         else if (auto const* host = std::get_if<host_message>(&*message))
-            on_host_message(*host);
+            on_host_message(peer, *host);
         else
             context_.counters.count_refusal("control", "unexpected_message");
     }
@@ -195,7 +195,8 @@
     }
 
     // A control host that sends to this address announces the others or searches for them.
-    void on_host_message(host_message const& received) {
+    void on_host_message(link_peer from, host_message const& received) {
+        acknowledger_.on_host_message(context_.clock.now(), *server_, from);
         auto const content = decode_control_message(received.content);
         if (!content.ok())
             context_.counters.count_refusal("control", "malformed");
@@ -237,7 +238,8 @@
     operator_api_hook operator_api_;
     control_host_cache control_hosts_;
     ring<received_bytes> events_;
-    control_links links_; // used by the answer duty only
+    control_links links_;                    // used by the answer duty only
+    control_link_acknowledger acknowledger_; // likewise
     std::unique_ptr<control_session> session_;
     std::unique_ptr<link_server> server_;
     std::unique_ptr<http_server> api_;
--- a/src/version/control_codec.cpp
+++ b/src/version/control_codec.cpp
@@ -121,6 +121,10 @@
 auto fields(Archive& archive, join_answer& value) {
     return detail::list_fields(archive, value.sender, value.hosts);
 }
+template <typename Archive>
+auto fields(Archive& archive, link_acknowledgement& /*value*/) {
+    return detail::list_fields(archive);
+}
 
 std::string encode_control_message(control_message const& message) {
     return detail::encode(message);
--- a/tests/paths_test.cpp
+++ b/tests/paths_test.cpp
@@ -4,6 +4,7 @@
 
 #include "toucanusher/connection/link_monitor.h"
 #include "toucanusher/connection/path_monitor.h"
+#include "toucanusher/connection/peer_link_monitor.h"
 
 namespace toucanusher::tests {
 
@@ -78,4 +79,30 @@
     CHECK(monitor.on_tick(at(4600)) == link_step::replace);
 }
 
+TEST_CASE("a silent link to a peer is replaced although the peer sends on a link of its own") {
+    peer_link_monitor monitor(std::chrono::milliseconds{600});
+    for (int now = 0; now < 2000; now += 50) {
+        monitor.on_sent(at(now));
+        monitor.on_acknowledged();
+        CHECK_FALSE(monitor.replace_if_unanswered(at(now)));
+    }
+    int replaced = 0;
+    for (int now = 2000; now < 4000; now += 50) {
+        monitor.on_sent(at(now));
+        monitor.on_contact();
+        replaced += monitor.replace_if_unanswered(at(now)) ? 1 : 0;
+    }
+    CHECK(replaced == 3); // after 600 ms each
+}
+
+TEST_CASE("a link to a peer that acknowledges nothing is kept while the peer sends") {
+    peer_link_monitor monitor(std::chrono::milliseconds{600});
+    for (int now = 0; now < 4000; now += 50) {
+        monitor.on_sent(at(now));
+        if (now % 500 == 0)
+            monitor.on_contact();
+        CHECK_FALSE(monitor.replace_if_unanswered(at(now)));
+    }
+}
+
 } // namespace toucanusher::tests
