Report finished syncs to the control host even if its ring is full

What callers would see: entries that are on a host's disk never count as synced there, so changes may stay unanswered until that host writes again.

Cause: the disk duty reported a sync by an event, and dropped the report if the ring was full.

Change: the disk duty stores the sequence of the newest write on disk, and its event only wakes the decide duty, which reads the sequence after every event and tick. No test without processes drives this duty.

--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -41,9 +41,8 @@
     link_peer peer{};
     std::string bytes;
 };
-struct writes_synced {
-    std::uint64_t sequence = 0;
-};
+// Wakes the decide duty, which reads synced_sequence_.
+struct writes_synced {};
 struct configuration_write {
     configuration candidate;
     configuration_responder respond;
@@ -263,6 +262,7 @@
             time_point const now = context_.clock.now();
             if (event)
                 std::visit([&](auto const& body) { on_event(now, body); }, *event);
+            report_synced_writes(now);
             if (now < next_tick)
                 continue;
             next_tick = now + tick_interval;
@@ -272,8 +272,14 @@
         }
     }
 
-    void on_event(time_point now, writes_synced const& done) {
-        execute_output(host_->on_synced(now, done.sequence));
+    void on_event(time_point /*now*/, writes_synced const& /*wake*/) {}
+
+    void report_synced_writes(time_point now) {
+        std::uint64_t const synced = synced_sequence_.load();
+        if (synced == reported_sequence_)
+            return;
+        reported_sequence_ = synced;
+        execute_output(host_->on_synced(now, synced));
     }
 
     void on_event(time_point now, configuration_write const& write) {
@@ -428,8 +434,9 @@
             if (!append_with_retry(all))
                 return;
             context_.counters.count("disk_syncs");
-            if (!events_.try_push(writes_synced{all.back().sequence}))
-                context_.counters.count_refusal("control", "ring_full");
+            synced_sequence_ = all.back().sequence;
+            // If the ring is full, the decide duty reads the sequence after its next event.
+            (void)events_.try_push(writes_synced{});
         }
     }
 
@@ -483,9 +490,11 @@
     ring<std::vector<disk_write>> writes_;
     ring<bool> disk_retry_stop_; // never filled; closing it ends the disk duty's retry delay
     control_links links_;        // used by the decide duty only
-    control_link_acknowledger acknowledger_; // likewise
-    std::unique_ptr<log_store> store_;       // after start() used by the disk duty only
-    std::unique_ptr<control_host> host_;     // after start() used by the decide duty only
+    control_link_acknowledger acknowledger_;        // likewise
+    std::unique_ptr<log_store> store_;              // after start() used by the disk duty only
+    std::unique_ptr<control_host> host_;            // after start() used by the decide duty only
+    std::atomic<std::uint64_t> synced_sequence_{0}; // of the newest write that is on disk
+    std::uint64_t reported_sequence_ = 0;           // to host_; used by the decide duty only
     std::unique_ptr<link_server> server_;
     std::unique_ptr<http_server> api_;
     std::unique_ptr<http_server> readiness_;
