--- a/include/toucanusher/process/replicated_log.h
+++ b/include/toucanusher/process/replicated_log.h
@@ -37,6 +37,9 @@
     // So that slow followers need no snapshot. The oldest entries go once either is exceeded.
     std::size_t kept_entries_after_snapshot = 1024;
     std::size_t kept_bytes_after_snapshot = 4U << 20U;
+    // A follower replies to a snapshot within this time, besides its transfer.
+    duration snapshot_retry_interval = std::chrono::milliseconds{500};
+    std::uint64_t min_snapshot_rate = 4'000'000; // bytes per second, between control hosts
 };
 
 // Fault injection for tests: each switch disables one safety rule, to show that the checks detect
@@ -118,6 +121,7 @@
         std::uint64_t acknowledged_round = 0;
         time_point last_reply{};
         time_point last_sent{};
+        time_point next_snapshot_at{}; // no snapshot is repeated earlier
     };
     struct deferred_message {
         std::uint64_t after_write = 0;
@@ -146,6 +150,9 @@
     void append_replicated(append_request const& request);
     void broadcast(time_point now);
     void send_append(time_point now, host_id peer);
+    void send_snapshot(time_point now, host_id peer, progress& state);
+    // Returns whether entries that the peer lacks are only in the snapshot.
+    [[nodiscard]] bool needs_snapshot(progress const& state) const;
     void advance_commit(time_point now);
     void commit_to(log_index index);
     void confirm_reads();
--- a/programs/explain.cpp
+++ b/programs/explain.cpp
@@ -44,6 +44,8 @@
                                                  "control_session",
                                                  "founds",
                                                  "control_peer_silent",
+                                                 "update_gap",
+                                                 "updates_repeated",
                                                  "configuration_in_force"};
     return events.contains(record.event);
 }
--- a/src/process/replicated_log.cpp
+++ b/src/process/replicated_log.cpp
@@ -285,7 +285,8 @@
     }
     advance_commit(now);
     confirm_reads();
-    if (peer.next <= last_index())
+    bool const awaits_snapshot = needs_snapshot(peer) && now < peer.next_snapshot_at;
+    if (peer.next <= last_index() && !awaits_snapshot)
         send_append(now, from);
 }
 
@@ -426,8 +427,8 @@
         progress_.try_emplace(peer, progress{.next = last_index() + 1, .last_reply = now})
             .first->second;
     state.last_sent = now;
-    if (state.next < first_index_ || !term_at(state.next - 1)) {
-        send(peer, snapshot_request{state_.term, round_, snapshot_}, hold_until::term_is_synced);
+    if (needs_snapshot(state)) {
+        send_snapshot(now, peer, state);
         return;
     }
     append_request request{state_.term, state.next - 1, *term_at(state.next - 1),
@@ -442,6 +443,26 @@
     send(peer, std::move(request), hold_until::term_is_synced);
 }
 
+// Sends the snapshot, or, until it is due again, an empty request that keeps the contact.
+void replicated_log::send_snapshot(time_point now, host_id peer, progress& state) {
+    if (now < state.next_snapshot_at) {
+        send(peer,
+             append_request{state_.term, snapshot_.index, snapshot_.term, commit_, round_, {}},
+             hold_until::term_is_synced);
+        return;
+    }
+    std::chrono::duration<double> const transfer_time{
+        static_cast<double>(snapshot_.state.size()) /
+        static_cast<double>(options_.min_snapshot_rate)};
+    state.next_snapshot_at = now + options_.snapshot_retry_interval +
+                             std::chrono::duration_cast<duration>(transfer_time);
+    send(peer, snapshot_request{state_.term, round_, snapshot_}, hold_until::term_is_synced);
+}
+
+bool replicated_log::needs_snapshot(progress const& state) const {
+    return state.next < first_index_ || !term_at(state.next - 1);
+}
+
 void replicated_log::advance_commit(time_point now) {
     log_index const candidate = quorum_match();
     if (candidate <= commit_)
--- a/tests/replicated_log_test.cpp
+++ b/tests/replicated_log_test.cpp
@@ -1,5 +1,6 @@
 // Tests cases of the replicated log that random runs of log_model seldom reach.
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <utility>
 #include <vector>
@@ -22,6 +23,8 @@
     std::map<host_id, replicated_log> logs;
     std::map<host_id, bool> isolated;
     std::vector<log_message> in_flight;
+    std::ptrdiff_t snapshots_sent = 0;
+    std::function<bool(log_message const&)> loses; // unset: nothing
 
     // The first `voters` hosts are voters, the others learners.
     explicit small_cluster(std::uint32_t hosts, log_faults faults = {}, log_options options = {},
@@ -55,8 +58,11 @@
                 apply_output(id, log.on_tick(clock.now()));
             auto batch = std::move(in_flight);
             in_flight.clear();
+            snapshots_sent += std::count_if(batch.begin(), batch.end(), [](auto const& message) {
+                return std::holds_alternative<snapshot_request>(message.body);
+            });
             for (log_message const& message : batch)
-                if (!isolated[message.from] && !isolated[message.to])
+                if (!isolated[message.from] && !isolated[message.to] && !(loses && loses(message)))
                     apply_output(message.to, logs.at(message.to).on_message(clock.now(), message));
         }
     }
@@ -221,6 +227,39 @@
 
 } // namespace
 
+TEST_CASE("a snapshot is repeated at intervals to a follower whose disk has stalled") {
+    log_options options;
+    options.kept_entries_after_snapshot = 2;
+    small_cluster cluster(3, {}, options);
+    cluster.run(std::chrono::seconds{2});
+    host_id const leader = cluster.leader();
+    host_id const follower = another_host(leader);
+    cluster.isolated[follower] = true;
+    replicated_log& log = cluster.logs.at(leader);
+    for (int i = 0; i < 10; ++i) {
+        log_output output;
+        REQUIRE(log.propose(cluster.clock.now(), "command", output).ok());
+        cluster.apply_output(leader, std::move(output));
+        cluster.run(milliseconds{100});
+    }
+    cluster.apply_output(leader, log.compact(log.commit_index(), "state"));
+    cluster.isolated[follower] = false;
+    // A follower replies to a snapshot once it is on its disk.
+    cluster.loses = [&](log_message const& message) {
+        auto const* reply = std::get_if<append_reply>(&message.body);
+        return message.from == follower && reply != nullptr && reply->accepted;
+    };
+    cluster.run(std::chrono::seconds{10});
+    CHECK(cluster.snapshots_sent >= 5);
+    CHECK(cluster.snapshots_sent <= 21); // every 500 ms
+    cluster.loses = {};
+    cluster.snapshots_sent = 0;
+    cluster.run(std::chrono::seconds{1});
+    CHECK(log.match_index(follower) == log.commit_index());
+    CHECK(cluster.snapshots_sent <= 2);
+    CHECK(cluster.leader() == leader);
+}
+
 TEST_CASE("a voter is replaced while it is cut off, and the log keeps committing") {
     replacing_cluster cluster;
     CHECK(cluster.commits_with({cluster.remaining}));
