Read the boot time of a log line into a chrono type

Cause: parse_event_record kept the value of boot_ms in an integer named after its unit until the statement after, against the rule that times are std::chrono types.

Change: parse_milliseconds turns the text into std::chrono::milliseconds in one place. No change of behaviour: a line without a readable value is still taken as truncated.

--- a/src/process/event_record.cpp
+++ b/src/process/event_record.cpp
@@ -79,6 +79,13 @@
     return readable;
 }
 
+std::optional<milliseconds> parse_milliseconds(std::string_view text) {
+    milliseconds::rep count = 0;
+    if (!absl::SimpleAtoi(to_absl(text), &count))
+        return std::nullopt;
+    return milliseconds{count};
+}
+
 } // namespace
 
 std::string event_record::field(std::string const& key) const {
@@ -101,10 +108,10 @@
     while (take_field(rest, key, value))
         record.fields[key] = value;
     record.event = record.field("event");
-    std::int64_t boot_ms = 0;
-    if (!absl::SimpleAtoi(record.field("boot_ms"), &boot_ms))
+    auto const since_boot = parse_milliseconds(record.field("boot_ms"));
+    if (!since_boot)
         return std::nullopt; // truncated
-    record.since_boot = milliseconds{boot_ms};
+    record.since_boot = *since_boot;
     return record;
 }
 
