Split request_executor by job: intake and answers, run records, attempts

Cause: request_executor.cpp held 585 lines of four jobs, and a reader of one had to pass the others.

Change: recording of runs moved to request_executor_records.cpp, admission, attempts, retries and cancellation to request_executor_attempts.cpp; assembling, answers and timers stay.

--- a/src/request/request_executor.cpp
+++ b/src/request/request_executor.cpp
@@ -3,19 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "toucanusher/process/overloaded.h"
-#include "toucanusher/request/record_replicas.h"
-
 namespace toucanusher {
 
 namespace {
 
-constexpr int service_time_weight = 8; // inverse of the moving average's gain
-
-std::chrono::milliseconds time_left(time_point now, time_point deadline) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
-}
-
 bool same_header(request_part const& a, request_part const& b) {
     return a.parts == b.parts && a.kind == b.kind && a.idempotent == b.idempotent &&
            a.team == b.team;
@@ -104,30 +95,6 @@
     return actions;
 }
 
-request_actions request_executor::on_cancel(time_point now, request_id const& id) {
-    request_actions actions;
-    request* const entry = find(id);
-    if (entry == nullptr)
-        return actions;
-    switch (entry->current_phase) {
-    case phase::assembling:
-    case phase::waiting:
-    case phase::backing_off:
-        queue_.remove(id);
-        refuse(now, id, *entry, request_refusal::cancelled, actions);
-        break;
-    case phase::running:
-        start_cancel(now, id, *entry, request_refusal::cancelled, actions);
-        break;
-    case phase::recording:
-    case phase::run_elsewhere:
-    case phase::cancelling:
-    case phase::finished:
-        break; // the outcome is pending or already decided
-    }
-    return actions;
-}
-
 request_actions request_executor::on_ack(time_point /*now*/, answer_ack const& ack) {
     request_actions actions;
     request* const entry = find(ack.id);
@@ -141,115 +108,6 @@
     return actions;
 }
 
-request_actions request_executor::on_run_message(time_point now, wall_time wall,
-                                                 run_message const& message) {
-    request_actions actions;
-    std::visit(overloaded{
-                   [&](run_record_request const& received) {
-                       if (received.target != options_.self)
-                           return;
-                       bool const recent =
-                           is_member_list_recent(member_lists(), received.version,
-                                                 wall - options_.dedup_window / 2) &&
-                           !is_cut_off(now);
-                       actions.push_back(send_run_message{
-                           received.runner_agent, run_records_.record_run(now, received, recent)});
-                   },
-                   [&](run_record_reply const& reply) {
-                       request* const entry = find(reply.id);
-                       if (reply.target != options_.self || entry == nullptr ||
-                           entry->current_phase != phase::recording)
-                           return;
-                       entry->record_round->on_reply(reply);
-                       check_record_round(now, reply.id, *entry, actions);
-                   },
-                   [&](outcome_query const& query) {
-                       request* const entry = find(query.id);
-                       if (query.target != options_.self)
-                           return;
-                       if (entry != nullptr) {
-                           add_caller(*entry, query.flow, query.balancer);
-                           if (entry->current_phase == phase::finished)
-                               send_parts(*entry, actions);
-                           return;
-                       }
-                       // This incarnation recorded the run, but its outcome has expired.
-                       answer_part part;
-                       part.id = query.id;
-                       part.reason = request_refusal::too_old;
-                       actions.push_back(send_answer{query.flow, query.balancer, part});
-                   },
-               },
-               message);
-    return actions;
-}
-
-request_actions request_executor::on_attempt_result(time_point now, attempt_result result) {
-    request_actions actions;
-    std::uint32_t const concurrent = in_flight_;
-    --in_flight_;
-    request* entry = find(result.id);
-    if (faults_.match_answers_by_order) {
-        for (auto& [id, other] : requests_)
-            if (other.current_phase == phase::running) {
-                result.id = id;
-                result.attempt = other.attempts;
-                entry = &other;
-                break;
-            }
-    }
-    bool const expected =
-        entry != nullptr && entry->attempts == result.attempt &&
-        (entry->current_phase == phase::running || entry->current_phase == phase::cancelling);
-    if (expected) {
-        switch (result.kind) {
-        case attempt_result_kind::answered: {
-            duration const run_time = now - entry->started_at;
-            service_time_ = service_time_ == duration{}
-                                ? run_time
-                                : service_time_ + (run_time - service_time_) / service_time_weight;
-            limit_.on_success(concurrent);
-            answer_part answer;
-            answer.id = result.id;
-            answer.outcome = request_outcome::done;
-            answer.status = result.status;
-            finish(now, *entry, std::move(answer), result.body, actions);
-            break;
-        }
-        case attempt_result_kind::shed:
-            limit_.on_shed(now, concurrent);
-            retry_or_refuse(now, result.id, *entry, retry_reason::upstream_shed,
-                            request_refusal::upstream_shed, result.retry_after, actions);
-            break;
-        case attempt_result_kind::unreachable:
-            retry_or_refuse(now, result.id, *entry, retry_reason::upstream_unreachable,
-                            request_refusal::upstream_unreachable, {}, actions);
-            break;
-        case attempt_result_kind::lost:
-            entry->may_have_run = !faults_.timeout_proves_not_run;
-            retry_or_refuse(now, result.id, *entry, retry_reason::attempt_lost,
-                            request_refusal::attempt_lost, {}, actions);
-            break;
-        }
-    }
-    dispatch(now, actions);
-    return actions;
-}
-
-request_actions request_executor::on_cancel_result(time_point now, request_id const& id,
-                                                   std::uint32_t attempt, cancel_result_kind kind) {
-    request_actions actions;
-    request* const entry = find(id);
-    bool const expected =
-        entry != nullptr && entry->current_phase == phase::cancelling && entry->attempts == attempt;
-    if (!expected || kind == cancel_result_kind::no_answer)
-        return actions;
-    if (kind == cancel_result_kind::started)
-        entry->may_have_run = true;
-    refuse(now, id, *entry, entry->cancel_reason, actions);
-    return actions;
-}
-
 request_actions request_executor::on_tick(time_point now) {
     request_actions actions;
     std::vector<queue_refusal> expired;
@@ -318,138 +176,6 @@
     }
 }
 
-void request_executor::start_recording(time_point now, wall_time wall, request_id const& id,
-                                       request& entry, request_actions& actions) {
-    if (is_cut_off(now)) {
-        refuse(now, id, entry, request_refusal::cut_off, actions);
-        return;
-    }
-    entry.current_phase = phase::recording;
-    entry.started_at = now;
-    wall_time const window_start = wall - options_.dedup_window - options_.clock_skew;
-    entry.record_round.emplace(record_replica_sets(member_lists(), window_start, id));
-    send_record_requests(now, id, entry, actions);
-    check_record_round(now, id, entry, actions);
-}
-
-void request_executor::send_record_requests(time_point now, request_id const& id, request& entry,
-                                            request_actions& actions) {
-    entry.timer = now + options_.record_retry_interval;
-    for (upstream_ref const replica : entry.record_round->missing()) {
-        run_record_request const message{
-            replica, options_.self,    options_.process_instance, options_.self_agent,
-            id,      state_->version()};
-        if (replica == options_.self) {
-            entry.record_round->on_reply(run_records_.record_run(now, message, true));
-            continue;
-        }
-        if (upstream_record const* const record = state_->upstream(replica))
-            actions.push_back(send_run_message{record->announcement.agent, message});
-    }
-}
-
-void request_executor::check_record_round(time_point now, request_id const& id, request& entry,
-                                          request_actions& actions) {
-    switch (entry.record_round->state()) {
-    case run_record_state::pending:
-        return;
-    case run_record_state::granted:
-        entry.record_granted = true;
-        admit(now, id, entry, actions);
-        return;
-    case run_record_state::unavailable:
-        refuse(now, id, entry, request_refusal::claim_unavailable, actions);
-        return;
-    case run_record_state::taken:
-        break;
-    }
-    // A record of this incarnation was made by an earlier process of this agent.
-    upstream_record const* const runner = state_->upstream(*entry.record_round->runner());
-    if (runner == nullptr || runner->ref == options_.self) {
-        refuse(now, id, entry, request_refusal::runner_lost, actions);
-        return;
-    }
-    // The runner answers the callers itself; this entry only prevents a second run here.
-    entry.current_phase = phase::run_elsewhere;
-    entry.timer = entry.deadline;
-    for (destination const& caller : entry.callers)
-        actions.push_back(
-            send_run_message{runner->announcement.agent,
-                             outcome_query{runner->ref, id, caller.flow, caller.balancer}});
-}
-
-void request_executor::admit(time_point now, request_id const& id, request& entry,
-                             request_actions& actions) {
-    if (draining_) {
-        refuse(now, id, entry, request_refusal::draining, actions);
-        return;
-    }
-    entry.current_phase = phase::waiting;
-    waiting_request const waiting{id, entry.header.kind, entry.header.team, entry.deadline};
-    if (auto const refused = queue_.push(now, waiting, service_time_, limit_.limit())) {
-        request* const victim = find(refused->id);
-        refuse(now, refused->id, *victim, refused->reason, actions);
-    }
-    dispatch(now, actions);
-}
-
-void request_executor::dispatch(time_point now, request_actions& actions) {
-    std::vector<queue_refusal> expired;
-    while (in_flight_ < limit_.limit()) {
-        auto const next = queue_.pop(now, service_time_, expired);
-        if (!next)
-            break;
-        if (request* const entry = find(next->id))
-            begin_attempt(now, next->id, *entry, actions);
-    }
-    for (queue_refusal const& refusal : expired)
-        if (request* const entry = find(refusal.id))
-            refuse(now, refusal.id, *entry, refusal.reason, actions);
-}
-
-void request_executor::begin_attempt(time_point now, request_id const& id, request& entry,
-                                     request_actions& actions) {
-    entry.current_phase = phase::running;
-    entry.started_at = now;
-    entry.timer = entry.deadline;
-    ++entry.attempts;
-    ++in_flight_;
-    actions.push_back(start_attempt{id, entry.attempts, entry.header.kind, entry.header.idempotent,
-                                    time_left(now, entry.deadline), entry.body});
-}
-
-void request_executor::retry_or_refuse(time_point now, request_id const& id, request& entry,
-                                       retry_reason reason, request_refusal refusal,
-                                       std::chrono::milliseconds retry_after,
-                                       request_actions& actions) {
-    if (entry.current_phase == phase::cancelling) {
-        refuse(now, id, entry, entry.cancel_reason, actions);
-        return;
-    }
-    bool const may_retry =
-        entry.header.idempotent || !entry.may_have_run || faults_.retry_lost_non_idempotent;
-    if (!may_retry || entry.attempts >= options_.max_attempts || draining_) {
-        refuse(now, id, entry, refusal, actions, retry_after);
-        return;
-    }
-    duration const backoff =
-        std::max<duration>(retry_after, jittered_backoff(entry.attempts, options_.backoff_base,
-                                                         options_.backoff_cap, random_));
-    if (now + backoff + service_time_ >= entry.deadline) {
-        actions.push_back(count_retry{retry_reason::held_by_deadline});
-        refuse(now, id, entry, refusal, actions, retry_after);
-        return;
-    }
-    if (!budget_->try_spend(now)) {
-        actions.push_back(count_retry{retry_reason::held_by_budget});
-        refuse(now, id, entry, request_refusal::retry_budget_spent, actions, retry_after);
-        return;
-    }
-    actions.push_back(count_retry{reason});
-    entry.current_phase = phase::backing_off;
-    entry.timer = now + backoff;
-}
-
 void request_executor::refuse(time_point now, request_id const& id, request& entry,
                               request_refusal reason, request_actions& actions,
                               std::chrono::milliseconds retry_after) {
@@ -486,14 +212,6 @@
             actions.push_back(send_answer{caller.flow, caller.balancer, part});
 }
 
-void request_executor::start_cancel(time_point now, request_id const& id, request& entry,
-                                    request_refusal reason, request_actions& actions) {
-    entry.current_phase = phase::cancelling;
-    entry.cancel_reason = reason;
-    entry.timer = now + options_.cancel_timeout;
-    actions.push_back(cancel_attempt{id, entry.attempts});
-}
-
 void request_executor::run_timer(time_point now, request_id const& id, request& entry,
                                  request_actions& actions) {
     switch (entry.current_phase) {
@@ -545,12 +263,6 @@
     actions.push_back(send_answer{caller.flow, caller.balancer, std::move(answer)});
 }
 
-std::vector<member_list> const& request_executor::member_lists() const {
-    static std::vector<member_list> const none;
-    upstream_record const* const own = state_ ? state_->upstream(options_.self) : nullptr;
-    return own == nullptr ? none : *state_->service(own->service)->member_lists;
-}
-
 // True if only this agent may run the request and no attempt can have started.
 bool request_executor::proven_not_run(request const& entry) const {
     bool const exclusive =
@@ -558,17 +270,6 @@
     return exclusive && !entry.may_have_run;
 }
 
-bool request_executor::is_cut_off(time_point now) const {
-    return now - last_control_contact_ > options_.control_timeout && !faults_.ignore_cut_off;
-}
-
-std::uint32_t request_executor::slots() const {
-    if (settings_.slots > 0)
-        return settings_.slots;
-    upstream_record const* const own = state_ ? state_->upstream(options_.self) : nullptr;
-    return own == nullptr ? 1 : std::max<std::uint32_t>(1, own->announcement.slots);
-}
-
 void request_executor::configure() {
     admission_options admission;
     admission.queue_length = settings_.queue_length;
