--- a/src/process/host_plan.cpp
+++ b/src/process/host_plan.cpp
@@ -3,17 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/process/log_voters.h"
+
 namespace toucanusher {
 
 namespace {
 
+using detail::contains;
+
 // A host without contact for longer becomes neither learner nor voter. Spans several heartbeats.
 constexpr duration candidate_timeout = std::chrono::seconds{1};
 
-bool contains(std::vector<host_id> const& hosts, host_id host) {
-    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
-}
-
 host_status const* find_status(std::vector<host_status> const& statuses, host_id host) {
     auto const found = std::find_if(statuses.begin(), statuses.end(),
                                     [&](host_status const& status) { return status.id == host; });
