Give the acknowledger of control links its own files; allocate once a link

Cause: reading the change again. control_links held two classes, against the rule of a file pair a class, and made a shared flag for every message it sent, 10 to 100 a second and peer, only to drop it when the peer was known.

Change: control_link_acknowledger has its own files; a peer makes its flag when it is added.

The saving was not measured.

--- a/programs/control_links.cpp
+++ b/programs/control_links.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "src/version/control_codec.h"
-
 namespace toucanusher {
 
 namespace {
@@ -12,19 +10,13 @@
 // and acknowledgements, and is not longer than the shortest election timeout.
 constexpr duration answer_timeout = std::chrono::milliseconds{600};
 constexpr duration idle_timeout = std::chrono::seconds{10};
-// At most one acknowledgement a link within this time.
-constexpr duration acknowledgement_interval = std::chrono::milliseconds{150};
-constexpr std::size_t max_links = 256;
 
 } // namespace
 
+control_links::peer::peer() : monitor(answer_timeout) {}
+
 void control_links::send(time_point now, endpoint address, std::string const& sealed) {
-    peer& entry = peers_
-                      .try_emplace(address, peer{peer_link_monitor{answer_timeout},
-                                                 now,
-                                                 std::make_shared<std::atomic<bool>>(false),
-                                                 {}})
-                      .first->second;
+    peer& entry = peers_[address];
     if (!entry.link) {
         // The only messages on a link that this host opened are acknowledgements.
         auto link = link_client::open(address, [acknowledged = entry.acknowledged](
@@ -66,17 +58,4 @@
     }
 }
 
-void control_link_acknowledger::on_host_message(time_point now, link_server& server,
-                                                link_peer from) {
-    auto const [at, is_new] = acknowledged_at_.try_emplace(from, now);
-    if (!is_new && now - at->second < acknowledgement_interval)
-        return;
-    at->second = now;
-    if (!server.send(from, context_.sealer->seal(encode_control_message(link_acknowledgement{}))))
-        context_.counters.count_refusal("control", "link_send_failed");
-    // A link that is dropped although it is open is acknowledged once too often.
-    if (acknowledged_at_.size() > max_links)
-        acknowledged_at_.erase(acknowledged_at_.begin());
-}
-
 } // namespace toucanusher
--- a/programs/control_links.h
+++ b/programs/control_links.h
@@ -29,25 +29,15 @@
         peer_link_monitor monitor;
         time_point last_sent{};
         // Set by the receive duty of the link.
-        std::shared_ptr<std::atomic<bool>> acknowledged;
+        std::shared_ptr<std::atomic<bool>> acknowledged =
+            std::make_shared<std::atomic<bool>>(false);
         std::unique_ptr<link_client> link;
+
+        peer();
     };
 
     process_context& context_;
     std::map<endpoint, peer> peers_;
 };
 
-// Acknowledges messages of control hosts on the links on which they arrive, so that their senders
-// can tell a working link from a silent one. Not thread-safe.
-class control_link_acknowledger {
-  public:
-    explicit control_link_acknowledger(process_context& context) : context_(context) {}
-
-    void on_host_message(time_point now, link_server& server, link_peer from);
-
-  private:
-    process_context& context_;
-    std::map<link_peer, time_point> acknowledged_at_; // at most max_links
-};
-
 } // namespace toucanusher
--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -10,6 +10,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "programs/control_link_acknowledger.h"
 #include "programs/control_links.h"
 #include "src/process/io/host_identity.h"
 #include "src/process/io/link.h"
--- a/programs/control_redirector.cpp
+++ b/programs/control_redirector.cpp
@@ -9,6 +9,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "programs/control_link_acknowledger.h"
 #include "programs/control_links.h"
 #include "programs/control_session.h"
 #include "src/process/io/link.h"
