Share the schedule of heartbeats between sessions and the models of daemons

Cause: the cadence of a daemon's heartbeats stood three times: in control_session and, copied, in model_follower and update_delivery_test, so a change of the session would have left the tests behind. A gap that came with a new version was reported twice.

Change: heartbeat_schedule decides when a heartbeat is due; the session and both models use it. Times are as they were, 1 s, 150 ms until established, 150 ms after an update.

Result: update_delivery_test (3 cases), control_discovery_test (6), host_model_test (2), control_contact_test (7) and control_host_test (9) pass, with the real cadence now.

--- a/include/toucanusher/version/update_delivery.h
+++ b/include/toucanusher/version/update_delivery.h
@@ -16,8 +16,8 @@
 namespace toucanusher {
 
 struct update_delivery_options {
-    // A daemon reports an update within this time after its transfer. Its session reports a new
-    // version after 150 ms.
+    // A daemon reports an update within this time after its transfer; longer than the report delay
+    // of heartbeat_schedule.
     duration report_timeout = std::chrono::milliseconds{400};
     // The transfer of a large update takes longer over a thin link, and repeating it meanwhile
     // would delay it further. Bytes per second; about half of the thinnest link that is expected.
@@ -47,7 +47,7 @@
 
     update_delivery_options options_;
     version_number sent_{};         // the last one of unreported_, if there are any
-    std::deque<update> unreported_; // by version
+    std::deque<update> unreported_; // by version; the owner drops silent daemons, which bounds it
     version_number reported_{};
     time_point last_report_{};
     time_point last_progress_{}; // when the daemon last reported a newer version
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -6,16 +6,13 @@
 
 #include "src/version/control_codec.h"
 #include "src/version/state_codec.h"
+#include "toucanusher/version/heartbeat_schedule.h"
 
 namespace toucanusher {
 
 namespace {
 
-constexpr duration heartbeat_interval = std::chrono::seconds{1};
-// A newly applied version is reported within this time.
-constexpr duration version_report_delay = std::chrono::milliseconds{150};
 constexpr std::size_t event_ring_size = 1024;
-constexpr duration first_heartbeat_interval = std::chrono::milliseconds{150};
 
 std::chrono::milliseconds to_milliseconds(duration span) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span);
@@ -75,18 +72,17 @@
 void control_session::run() {
     context_.counters.set("control_established", 0);
     connect();
-    time_point next_heartbeat = context_.clock.now();
+    heartbeat_schedule heartbeats(context_.clock.now());
     while (!events_.finished()) {
         time_point const now = context_.clock.now();
-        if (now >= next_heartbeat) {
+        if (heartbeats.is_due(now)) {
             send_heartbeat(now);
-            next_heartbeat =
-                now + (is_established() ? heartbeat_interval : first_heartbeat_interval);
+            heartbeats.on_sent(now, is_established());
         }
         if (leave_unresponsive_host(now))
-            next_heartbeat = now;
+            heartbeats.request(now);
         report_session(now);
-        auto event = events_.pop_until(next_heartbeat);
+        auto event = events_.pop_until(heartbeats.due_at());
         if (!event)
             continue;
         version_number const before = follower_.version();
@@ -97,11 +93,12 @@
         else if (auto* announced = std::get_if<host_announcement>(&*event))
             on_announcement(context_.clock.now(), std::move(announced->hosts));
         else
-            next_heartbeat = context_.clock.now();
+            heartbeats.request(context_.clock.now());
         if (std::exchange(link_changed_, false))
-            next_heartbeat = context_.clock.now();
-        if (follower_.version() != before || std::exchange(has_gap_, false))
-            next_heartbeat = std::min(next_heartbeat, context_.clock.now() + version_report_delay);
+            heartbeats.request(context_.clock.now());
+        bool const has_gap = std::exchange(has_gap_, false);
+        if (has_gap || follower_.version() != before)
+            heartbeats.on_update(context_.clock.now());
     }
 }
 
@@ -193,7 +190,6 @@
     update_outcome const outcome = follower_.on_update(now, *update);
     if (outcome == update_outcome::malformed)
         context_.counters.count_refusal("control", "malformed_update");
-    // The missing update may still be in transit, so it is not requested at once.
     if (outcome == update_outcome::gap) {
         has_gap_ = true;
         context_.counters.count("update_gaps");
--- a/tests/model_follower.cpp
+++ b/tests/model_follower.cpp
@@ -9,9 +9,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration heartbeat_interval = std::chrono::seconds{1};
-constexpr duration first_heartbeat_interval = milliseconds{150};
-
 } // namespace
 
 void model_follower::start(time_point now, std::vector<endpoint> seeds, std::size_t first_seed,
@@ -22,11 +19,12 @@
     referral_.emplace(options, now);
     contact_.emplace(control_contact_options{}, control_host_selector{std::move(seeds), first_seed},
                      now);
-    next_heartbeat_ = now;
+    heartbeats_.emplace(now);
 }
 
 void model_follower::stop(time_point restart_at) {
     contact_.reset();
+    heartbeats_.reset();
     last_session_ = {};
     referral_.reset();
     restart_at_ = restart_at;
@@ -41,9 +39,9 @@
     apply(now, contact_->on_tick(now));
     if (has_session())
         last_session_ = now;
-    if (now < next_heartbeat_)
+    if (!heartbeats_->is_due(now))
         return std::nullopt;
-    next_heartbeat_ = now + (has_session() ? heartbeat_interval : first_heartbeat_interval);
+    heartbeats_->on_sent(now, has_session());
     return contact_->host();
 }
 
@@ -77,7 +75,7 @@
 
 void model_follower::apply(time_point now, contact_step step) {
     if (step == contact_step::connect)
-        next_heartbeat_ = now;
+        heartbeats_->request(now);
 }
 
 } // namespace toucanusher::tests
--- a/tests/model_follower.h
+++ b/tests/model_follower.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "toucanusher/connection/control_contact.h"
+#include "toucanusher/version/heartbeat_schedule.h"
 #include "toucanusher/version/host_referral.h"
 
 namespace toucanusher::tests {
@@ -48,8 +49,8 @@
     std::optional<control_contact> contact_; // empty while the process is down
     std::optional<host_referral> referral_;  // as long as contact_
     time_point restart_at_{};
-    time_point next_heartbeat_{};
-    time_point last_session_{}; // last time with a session
+    std::optional<heartbeat_schedule> heartbeats_; // as long as contact_
+    time_point last_session_{};                    // last time with a session
 };
 
 } // namespace toucanusher::tests
--- a/tests/update_delivery_test.cpp
+++ b/tests/update_delivery_test.cpp
@@ -11,6 +11,7 @@
 #include "src/version/control_codec.h"
 #include "src/version/state_codec.h"
 #include "toucanusher/version/control_host.h"
+#include "toucanusher/version/heartbeat_schedule.h"
 
 namespace toucanusher::tests {
 
@@ -52,7 +53,7 @@
             clock_.advance(tick);
             take(host_->on_tick(now()));
             deliver();
-            if (now() >= next_heartbeat_)
+            if (heartbeats_.is_due(now()))
                 send_heartbeat();
         }
     }
@@ -152,14 +153,14 @@
             update_outcome const outcome = follower_.on_update(now(), link_queue_.front().update);
             link_queue_.pop_front();
             if (follower_.version() != before || outcome == update_outcome::gap)
-                next_heartbeat_ = std::min(next_heartbeat_, now() + report_delay);
+                heartbeats_.on_update(now());
         }
         while (!lacking_.empty() && lacking_.front().version <= follower_.version())
             lacking_.pop_front();
     }
 
     void send_heartbeat() {
-        next_heartbeat_ = now() + heartbeat_interval;
+        heartbeats_.on_sent(now(), true);
         heartbeat message;
         message.name = "b";
         message.process_instance = 7;
@@ -167,16 +168,13 @@
         take(host_->on_heartbeat(now(), daemon, message));
     }
 
-    // The cadence of a daemon's session with control.
-    static constexpr duration heartbeat_interval = seconds{1};
-    static constexpr duration report_delay = milliseconds{150};
     static constexpr client_id daemon{1};
 
     manual_clock clock_;
     link_model link_;
     std::unique_ptr<control_host> host_;
     state_follower follower_{make_state_codec(), 7};
-    time_point next_heartbeat_{};
+    heartbeat_schedule heartbeats_{time_point{}};
     time_point lost_until_{};
     std::deque<in_transit> link_queue_;
     time_point link_free_at_{};
