--- a/tests/update_delivery_test.cpp
+++ b/tests/update_delivery_test.cpp
@@ -19,6 +19,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using namespace std::chrono_literals;
 
 constexpr duration tick = milliseconds{10};
 // The shortest time within which an accepted configuration must be in force on any deployment.
@@ -187,13 +188,12 @@
 } // namespace
 
 TEST_CASE("a lost update is repeated while other updates follow") {
-    for (int const interval_ms : {50, 100, 200, 300, 400, 450, 600, 1000})
-        for (int const phase_ms : {0, 130, 370, 490, 700}) {
-            CAPTURE(interval_ms);
-            CAPTURE(phase_ms);
-            milliseconds const interval{interval_ms};
+    for (milliseconds const interval : {50ms, 100ms, 200ms, 300ms, 400ms, 450ms, 600ms, 1000ms})
+        for (milliseconds const phase : {0ms, 130ms, 370ms, 490ms, 700ms}) {
+            CAPTURE(interval.count());
+            CAPTURE(phase.count());
             delivery_model model({});
-            model.run_for(milliseconds{phase_ms});
+            model.run_for(phase);
             model.lose_updates_for(milliseconds{30});
             model.announce_upstream();
             duration longest{};
