--- a/include/toucanusher/process/replicated_log.h
+++ b/include/toucanusher/process/replicated_log.h
@@ -141,6 +141,8 @@
     void handle(time_point now, host_id from, append_request const& request);
     void handle(time_point now, host_id from, append_reply const& reply);
     void handle(time_point now, host_id from, snapshot_request const& request);
+    [[nodiscard]] bool accepts_sender(time_point now, host_id sender, log_term term,
+                                      std::uint64_t round);
     bool observe_term(time_point now, log_term term, bool pre_vote);
     void accept_leader(time_point now, host_id from);
     void become_follower(time_point now, log_term term, std::optional<host_id> leader);
--- a/src/process/replicated_log_replication.cpp
+++ b/src/process/replicated_log_replication.cpp
@@ -9,13 +9,8 @@
 namespace toucanusher {
 
 void replicated_log::handle(time_point now, host_id from, append_request const& request) {
-    if (request.term < state_.term) {
-        send(from, append_reply{state_.term, false, last_index(), request.round},
-             hold_until::all_is_synced);
+    if (!accepts_sender(now, from, request.term, request.round))
         return;
-    }
-    observe_term(now, request.term, false);
-    accept_leader(now, from);
     log_index const previous = request.previous_index;
     if (previous < commit_ && !term_at(previous)) {
         // The previous entry is compacted here, and hence committed and equal to the leader's.
@@ -59,13 +54,8 @@
 }
 
 void replicated_log::handle(time_point now, host_id from, snapshot_request const& request) {
-    if (request.term < state_.term) {
-        send(from, append_reply{state_.term, false, last_index(), request.round},
-             hold_until::all_is_synced);
+    if (!accepts_sender(now, from, request.term, request.round))
         return;
-    }
-    observe_term(now, request.term, false);
-    accept_leader(now, from);
     if (request.snapshot.index > commit_) {
         bool const keeps_tail = term_at(request.snapshot.index) == request.snapshot.term;
         snapshot_ = request.snapshot;
@@ -84,6 +74,19 @@
     send(from, append_reply{state_.term, true, commit_, request.round}, hold_until::all_is_synced);
 }
 
+// Accepts the sender of a request as the leader, or refuses the request if its term has passed.
+bool replicated_log::accepts_sender(time_point now, host_id sender, log_term term,
+                                    std::uint64_t round) {
+    if (term < state_.term) {
+        send(sender, append_reply{state_.term, false, last_index(), round},
+             hold_until::all_is_synced);
+        return false;
+    }
+    observe_term(now, term, false);
+    accept_leader(now, sender);
+    return true;
+}
+
 void replicated_log::append_own(time_point /*now*/, log_entry entry) {
     entry.term = state_.term;
     entry.index = last_index() + 1;
