Send daemons the state in acknowledged parts, without operators' texts

With 1,800 routes that is about 500 kB, of which 340 kB are the operators' texts that only reads need. Over 2 Mbit/s, half of it used by callers, the message takes 4 s; the daemon counts a host as silent after 1.5 s without a message (0.35 s on a new link), drops the link with the message in transit and starts again at the next host, for ever. Ruled out: the election (a leader stood after 0.2 s) and the control hosts' own links (14 MB over five links of 100 Mbit/s take 0.25 s). Each part is contact, the daemon acknowledges it at once, and a transfer goes on where it stopped, also from another host that has the same checkpoint. Checkpoints depend on the log only and are shared by all transfers. A quarter of a link of 2 Mbit/s replaces the full one as the rate that a repeated update allows for.

--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -20,6 +20,7 @@
 #include "toucanusher/version/control_message.h"
 #include "toucanusher/version/fleet_state.h"
 #include "toucanusher/version/lease_keeper.h"
+#include "toucanusher/version/snapshot_transfer.h"
 #include "toucanusher/version/state_follower.h"
 #include "toucanusher/version/update_delivery.h"
 
@@ -35,11 +36,18 @@
     duration client_timeout = std::chrono::seconds{10};     // a silent client gets no updates
     duration push_interval = std::chrono::milliseconds{20}; // commits within it share an update
     update_delivery_options delivery;
+    snapshot_transfer_options transfer;
     duration proposal_retry_interval = std::chrono::seconds{1};
-    // A client that lacks older commands gets a snapshot instead.
+    // A client that lacks older commands, or more bytes of them than a share of a snapshot, gets
+    // the snapshot instead.
+    std::size_t snapshot_percent = 50;
     std::size_t retained_commands = 4096;
     std::size_t retained_command_bytes = 4U << 20U;
     std::size_t max_commands_per_update = 256;
+    // Commands in one update; a link of low bandwidth carries it well within a receive timeout.
+    std::size_t max_command_bytes_per_update = 16U << 10U;
+    // A new snapshot for daemons is made after this many commands, and after each configuration.
+    std::uint64_t commands_per_checkpoint = 512;
     std::size_t max_pending_writes = 1024;
     // A snapshot is taken after this many entries or bytes of commands.
     log_index entries_per_snapshot = 4096;
@@ -128,6 +136,7 @@
         std::uint64_t process_instance = 0;
         bool follows_state = true;
         update_delivery delivery;
+        std::optional<snapshot_sender> transfer; // until the daemon reports its version
         time_point last_contact{};
         std::optional<log_index> confirmation_index; // entry whose application confirms the state
 
@@ -157,7 +166,7 @@
     control_output take_output();
     void apply_log_output(time_point now, log_output output);
     void apply(time_point now, log_entry const& entry);
-    void retain_command(std::string const& command);
+    void retain_command(std::string command);
     void restore(log_snapshot const& snapshot);
     void update_leadership(time_point now);
     void propose(time_point now, fleet_command command);
@@ -167,7 +176,12 @@
     void push_updates(time_point now);
     void repeat_lost_updates(time_point now, client& to);
     void push_update(time_point now, client_id id, client& to);
-    void add_missing_versions(time_point now, update_delivery& delivery, state_update& update);
+    void push_snapshot_parts(time_point now, client_id id, client& to);
+    [[nodiscard]] state_update make_update(time_point now) const;
+    [[nodiscard]] bool needs_snapshot(client const& to);
+    void add_missing_commands(time_point now, update_delivery& delivery, state_update& update);
+    void set_checkpoint();
+    std::shared_ptr<encoded_snapshot const> const& checkpoint_snapshot();
     void send_reports(time_point now);
     void record_report(time_point now, daemon_report const& report);
     void expire_members(time_point now);
@@ -204,8 +218,12 @@
     log_index applied_index_ = 0;        // newest entry applied to state_
     log_index compacted_index_ = 0;
     std::size_t bytes_since_compaction_ = 0; // of applied commands
-    std::deque<std::string> commands_; // the newest ones, encoded; the last one produced state_
-    std::size_t command_bytes_ = 0;    // of commands_
+    // The newest commands, encoded as daemons need them; the last one produced state_.
+    std::deque<std::string> commands_;
+    std::size_t command_bytes_ = 0; // of commands_
+    // The state at a version that depends on the log only, so that all hosts have the same one.
+    std::shared_ptr<fleet_state const> checkpoint_;               // never null
+    std::shared_ptr<encoded_snapshot const> checkpoint_snapshot_; // of checkpoint_; null until used
     std::map<client_id, client> clients_;
     std::map<log_index, pending_write> pending_writes_;
     std::map<std::uint64_t, pending_read> pending_reads_; // by token
--- a/include/toucanusher/version/control_message.h
+++ b/include/toucanusher/version/control_message.h
@@ -13,6 +13,7 @@
 #include "toucanusher/process/log_types.h"
 #include "toucanusher/version/claim_book.h"
 #include "toucanusher/version/fleet_command.h"
+#include "toucanusher/version/snapshot_transfer.h"
 
 namespace toucanusher {
 
@@ -34,16 +35,18 @@
     bool balancer_leaving = false;
     std::vector<release_buckets> releases;
     bool follows_state = true; // false: needs only the addresses of the control hosts
+    std::optional<snapshot_progress> transfer; // of a snapshot that is not complete yet
 
     friend bool operator==(heartbeat const&, heartbeat const&) = default;
 };
 
-// The commands after `base`, or a snapshot of the whole state, for a daemon that lacks them.
+// The commands after `base`, or a part of a snapshot of the whole state, for a daemon that lacks
+// them.
 struct state_update {
     version_number base{};
     version_number newest{};                    // version that the sender has applied
     std::vector<std::string> commands;          // encoded, in order; the first follows `base`
-    std::optional<std::string> snapshot;        // encoded state; then base and commands are ignored
+    std::optional<snapshot_part> snapshot;      // then base and commands are ignored
     std::optional<duration> leader_contact_age; // since the sender's last contact with a leader
     std::optional<std::uint64_t> confirmed_instance; // process instance for which `newest` is fresh
     std::vector<endpoint> control_hosts;             // to connect to if the sender stops responding
--- a/include/toucanusher/version/fleet_state.h
+++ b/include/toucanusher/version/fleet_state.h
@@ -54,6 +54,9 @@
     // Returns the routes in force; never null.
     [[nodiscard]] std::shared_ptr<configuration const> const& routes() const { return routes_; }
 
+    // Returns the state as daemons need it: without the operators' texts of routes and services.
+    [[nodiscard]] fleet_state for_daemons() const;
+
     // The part of the state that a snapshot stores.
     struct contents {
         version_number version{};
--- a/include/toucanusher/version/route_book.h
+++ b/include/toucanusher/version/route_book.h
@@ -62,6 +62,9 @@
 // Returns every error that makes a configuration invalid, with its place. `source` names the text.
 findings check_configuration(configuration const& candidate, std::string const& source);
 
+// Returns the configuration without the operator's texts, which only reads need.
+configuration without_documents(configuration from);
+
 // A step of an edit that turns one list into another: keeps a run of old items or adds one item.
 template <typename T>
 struct list_step {
@@ -85,6 +88,8 @@
 };
 
 edit_configuration make_edit(configuration const& from, configuration const& to);
+// As without_documents() of a configuration, for the change to one.
+edit_configuration without_documents(edit_configuration from);
 // Returns nothing if the edit was made for another base or its number is not greater.
 std::optional<configuration> apply_edit(configuration const& from, edit_configuration const& edit);
 
--- a/include/toucanusher/version/state_follower.h
+++ b/include/toucanusher/version/state_follower.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <absl/status/statusor.h>
@@ -12,6 +13,7 @@
 #include "toucanusher/process/clock.h"
 #include "toucanusher/version/control_message.h"
 #include "toucanusher/version/fleet_state.h"
+#include "toucanusher/version/snapshot_transfer.h"
 
 namespace toucanusher {
 
@@ -22,7 +24,13 @@
     std::function<std::string(fleet_state const&)> encode_state;
 };
 
-enum class update_outcome : std::uint8_t { applied, nothing_new, gap, malformed };
+enum class update_outcome : std::uint8_t {
+    applied,
+    partial, // a part of a snapshot that is not complete yet
+    nothing_new,
+    gap,
+    malformed,
+};
 
 class state_follower {
   public:
@@ -36,16 +44,20 @@
     // Returns true once a version that a control host confirmed as fresh for this process is
     // applied.
     [[nodiscard]] bool confirmed() const { return confirmed_; }
+    // Returns what was received of a snapshot that is not complete yet.
+    [[nodiscard]] std::optional<snapshot_progress> transfer() const { return receiver_.progress(); }
     // Returns the time of the last update from a control host.
     [[nodiscard]] time_point last_contact() const { return last_contact_; }
 
   private:
     update_outcome apply(state_update const& update);
+    update_outcome apply(snapshot_part const& part);
 
     state_codec codec_;
     std::uint64_t process_instance_;
     std::shared_ptr<fleet_state const> state_; // never null; its version never decreases
-    bool confirmed_ = false;                   // never reset
+    snapshot_receiver receiver_;
+    bool confirmed_ = false; // never reset
     time_point last_contact_{};
 };
 
--- a/include/toucanusher/version/update_delivery.h
+++ b/include/toucanusher/version/update_delivery.h
@@ -15,13 +15,16 @@
 
 namespace toucanusher {
 
+// Bytes per second that a daemon's link carries for control at least, beside callers' packets.
+constexpr std::uint64_t min_control_transfer_rate = 60'000;
+
 struct update_delivery_options {
     // A daemon reports an update within this time after its transfer; longer than the report delay
     // of heartbeat_schedule.
     duration report_timeout = std::chrono::milliseconds{400};
-    // The transfer of a large update takes longer over a thin link, and repeating it meanwhile
-    // would delay it further. Bytes per second; about half of the thinnest link that is expected.
-    std::uint64_t min_transfer_rate = 250'000;
+    // The transfer of a large update takes longer over a link of low bandwidth, and repeating it
+    // meanwhile would delay it further. Bytes per second.
+    std::uint64_t min_transfer_rate = min_control_transfer_rate;
 };
 
 class update_delivery {
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -94,7 +94,9 @@
             on_announcement(context_.clock.now(), std::move(announced->hosts));
         else
             heartbeats.request(context_.clock.now());
-        if (std::exchange(link_changed_, false))
+        bool const link_changed = std::exchange(link_changed_, false);
+        bool const received_part = std::exchange(received_part_, false);
+        if (link_changed || received_part)
             heartbeats.request(context_.clock.now());
         bool const has_gap = std::exchange(has_gap_, false);
         if (has_gap || follower_.version() != before)
@@ -160,7 +162,10 @@
     message.role = role_;
     message.process_instance = context_.process_instance;
     message.applied = follower_.version();
-    message.wants_confirmation = message.follows_state && !follower_.confirmed();
+    message.transfer = follower_.transfer();
+    // A version that is confirmed before the transfer ends would be older than the newest one then.
+    message.wants_confirmation =
+        message.follows_state && !follower_.confirmed() && !message.transfer;
     std::string const sealed = context_.sealer->seal(encode_control_message(message));
     if (!link_ || !link_->send(sealed))
         context_.counters.count_refusal("control", "link_send_failed");
@@ -205,8 +210,9 @@
     if (follower_.version() != before)
         context_.events->rate_limited_warning(
             event_line("version_applied").add("version", value_of(follower_.version())));
-    if (value_of(follower_.version()) > value_of(before) + update->commands.size())
+    if (update->snapshot && outcome == update_outcome::applied)
         context_.counters.count("snapshot_applied");
+    received_part_ = update->snapshot.has_value();
     time_point const last_leader_contact =
         update->leader_contact_age ? now - *update->leader_contact_age : time_point{};
     on_view_({follower_.state(), follower_.confirmed(), last_leader_contact, contact_.host(),
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -82,9 +82,10 @@
     std::unique_ptr<link_client> link_; // used by the duty only
     state_follower follower_;           // used by the duty only
     bool was_established_ = false;
-    time_point lost_at_{};      // start of the time without an established session
-    bool has_gap_ = false;      // an update does not follow the applied version
-    bool link_changed_ = false; // no heartbeat was sent on the link yet
+    time_point lost_at_{};       // start of the time without an established session
+    bool has_gap_ = false;       // an update does not follow the applied version
+    bool link_changed_ = false;  // no heartbeat was sent on the link yet
+    bool received_part_ = false; // a part of a snapshot is to be acknowledged
     mutable std::mutex mutex_;
     heartbeat content_;                     // guarded by mutex_
     std::vector<release_buckets> releases_; // guarded by mutex_
--- a/src/version/control_codec.cpp
+++ b/src/version/control_codec.cpp
@@ -15,12 +15,24 @@
     return value <= control_refusal::host_change_refused;
 }
 
+template <typename Archive>
+auto fields(Archive& archive, snapshot_id& value) {
+    return detail::list_fields(archive, value.version, value.digest, value.size);
+}
+template <typename Archive>
+auto fields(Archive& archive, snapshot_part& value) {
+    return detail::list_fields(archive, value.snapshot, value.offset, value.bytes);
+}
+template <typename Archive>
+auto fields(Archive& archive, snapshot_progress& value) {
+    return detail::list_fields(archive, value.snapshot, value.received);
+}
 template <typename Archive>
 auto fields(Archive& archive, heartbeat& value) {
     return detail::list_fields(archive, value.name, value.role, value.process_instance,
                                value.applied, value.wants_confirmation, value.upstreams,
                                value.ended_upstreams, value.balancer, value.balancer_leaving,
-                               value.releases, value.follows_state);
+                               value.releases, value.follows_state, value.transfer);
 }
 template <typename Archive>
 auto fields(Archive& archive, state_update& value) {
--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -33,7 +33,8 @@
                            claim_faults claim_faults)
     : options_(options), codec_(std::move(codec)),
       log_(options.log, stored, now, std::move(random), log_faults),
-      state_(std::make_shared<fleet_state>(claim_faults)), leases_(options.member_lease),
+      state_(std::make_shared<fleet_state>(claim_faults)),
+      checkpoint_(std::make_shared<fleet_state const>(*state_)), leases_(options.member_lease),
       configurations_(options.configuration_timeout) {
     if (stored.snapshot.index > 0 && !stored.snapshot.state.empty())
         restore(stored.snapshot);
@@ -185,9 +186,15 @@
         // Every host decodes the same bytes, so all of them skip a command that fails to decode.
         if (command.ok()) {
             result = state_->apply(*command);
-            if (std::holds_alternative<edit_configuration>(*command))
+            bytes_since_compaction_ += entry.payload.size();
+            auto const* edit = std::get_if<edit_configuration>(&*command);
+            if (edit != nullptr)
                 configurations_.on_edit_applied();
-            retain_command(entry.payload);
+            retain_command(edit == nullptr ? entry.payload
+                                           : codec_.encode_command(without_documents(*edit)));
+            if (edit != nullptr ||
+                value_of(state_->version()) % options_.commands_per_checkpoint == 0)
+                set_checkpoint();
             proposed_at_.erase(codec_.encode_command(without_proposal_time(*command)));
         }
     }
@@ -204,10 +211,9 @@
         reply(done.client, done.request, *result);
 }
 
-void control_host::retain_command(std::string const& command) {
-    commands_.push_back(command);
+void control_host::retain_command(std::string command) {
     command_bytes_ += command.size();
-    bytes_since_compaction_ += command.size();
+    commands_.push_back(std::move(command));
     while (commands_.size() > options_.retained_commands ||
            command_bytes_ > options_.retained_command_bytes) {
         command_bytes_ -= commands_.front().size();
@@ -226,6 +232,12 @@
     commands_.clear();
     command_bytes_ = 0;
     bytes_since_compaction_ = 0;
+    set_checkpoint();
+}
+
+void control_host::set_checkpoint() {
+    checkpoint_ = std::make_shared<fleet_state const>(*state_);
+    checkpoint_snapshot_.reset();
 }
 
 void control_host::update_leadership(time_point now) {
--- a/src/version/control_host_daemons.cpp
+++ b/src/version/control_host_daemons.cpp
@@ -18,6 +18,12 @@
     from.follows_state = message.follows_state;
     from.last_contact = now;
     from.delivery.on_report(now, message.applied);
+    if (from.transfer && message.applied >= from.transfer->version())
+        from.transfer.reset();
+    else if (from.transfer)
+        from.transfer->on_report(now, message.transfer);
+    else if (message.transfer && message.transfer->snapshot == checkpoint_snapshot()->id)
+        from.transfer.emplace(options_.transfer, checkpoint_snapshot(), now, message.transfer);
     from.report = {message.name, message.role, message.applied, {}, std::nullopt};
     for (upstream_announcement const& announcement : message.upstreams) {
         upstream_record const* const current =
@@ -54,7 +60,9 @@
         return;
     for (auto& [id, to] : clients_) {
         repeat_lost_updates(now, to);
-        if (to.follows_state && to.delivery.sent() < state_->version()) {
+        if (to.transfer) {
+            push_snapshot_parts(now, id, to);
+        } else if (to.follows_state && to.delivery.sent() < state_->version()) {
             push_update(now, id, to);
             next_push_at_ = now + options_.push_interval;
         }
@@ -62,48 +70,83 @@
 }
 
 void control_host::repeat_lost_updates(time_point now, client& to) {
-    version_number const sent = to.delivery.sent();
-    if (to.delivery.repeat_if_due(now))
+    version_number const sent = to.transfer ? to.transfer->version() : to.delivery.sent();
+    if (to.transfer ? to.transfer->repeat_if_due(now) : to.delivery.repeat_if_due(now))
         output_.repeats.push_back({to.name, to.delivery.sent(), sent});
 }
 
+// Sends the missing versions, and the address and the contacts of control hosts with them. The
+// parts of a snapshot in transit contain these as well, so nothing is sent beside them.
 void control_host::push_update(time_point now, client_id id, client& to) {
-    version_number const newest = state_->version();
-    bool const confirms = to.confirmation_index && applied_index_ >= *to.confirmation_index;
-    state_update update;
-    update.newest = newest;
+    if (to.follows_state && !to.transfer && needs_snapshot(to))
+        to.transfer.emplace(options_.transfer, checkpoint_snapshot(), now, std::nullopt);
+    if (to.transfer) {
+        push_snapshot_parts(now, id, to);
+        return;
+    }
+    state_update update = make_update(now);
     update.base = to.delivery.sent();
-    update.leader_contact_age = log_.leader_contact_age(now);
-    update.control_hosts = host_addresses();
-    if (confirms) {
+    if (to.confirmation_index && applied_index_ >= *to.confirmation_index) {
         update.confirmed_instance = to.process_instance;
         to.confirmation_index.reset();
     }
     if (to.follows_state)
-        add_missing_versions(now, to.delivery, update);
+        add_missing_commands(now, to.delivery, update);
     output_.to_clients.push_back({id, std::move(update)});
 }
 
-// Adds the versions after the last one that was sent: commands, or a snapshot if they are no longer
-// retained.
-void control_host::add_missing_versions(time_point now, update_delivery& delivery,
-                                        state_update& update) {
-    std::uint64_t const sent = value_of(delivery.sent());
-    std::uint64_t const oldest = value_of(state_->version()) - commands_.size();
-    if (sent < oldest) {
-        update.snapshot = codec_.encode_state(*state_);
-        delivery.on_sent(now, state_->version(), update.snapshot->size());
-        return;
+void control_host::push_snapshot_parts(time_point now, client_id id, client& to) {
+    for (snapshot_part& part : to.transfer->next_parts(now)) {
+        state_update update = make_update(now);
+        update.snapshot = std::move(part);
+        output_.to_clients.push_back({id, std::move(update)});
     }
-    std::size_t const first = sent - oldest;
-    std::size_t const last = std::min(commands_.size(), first + options_.max_commands_per_update);
+}
+
+state_update control_host::make_update(time_point now) const {
+    state_update update;
+    update.newest = state_->version();
+    update.leader_contact_age = log_.leader_contact_age(now);
+    update.control_hosts = host_addresses();
+    return update;
+}
+
+bool control_host::needs_snapshot(client const& to) {
+    std::uint64_t const sent = value_of(to.delivery.sent());
+    std::uint64_t const oldest = value_of(state_->version()) - commands_.size();
+    if (value_of(checkpoint_->version()) < oldest)
+        set_checkpoint(); // the commands after the last one are no longer retained
+    if (sent >= value_of(checkpoint_->version()))
+        return false;
+    if (sent < oldest || sent == 0)
+        return true;
     std::size_t bytes = 0;
-    for (std::size_t i = first; i < last; ++i) {
-        update.commands.push_back(commands_[i]);
+    for (std::size_t i = sent - oldest; i < commands_.size(); ++i)
         bytes += commands_[i].size();
+    return bytes > options_.max_command_bytes_per_update &&
+           bytes * 100 > checkpoint_snapshot()->bytes.size() * options_.snapshot_percent;
+}
+
+std::shared_ptr<encoded_snapshot const> const& control_host::checkpoint_snapshot() {
+    if (!checkpoint_snapshot_)
+        checkpoint_snapshot_ =
+            make_snapshot(checkpoint_->version(), codec_.encode_state(checkpoint_->for_daemons()));
+    return checkpoint_snapshot_;
+}
+
+// Adds the commands after the last one that was sent.
+void control_host::add_missing_commands(time_point now, update_delivery& delivery,
+                                        state_update& update) {
+    std::uint64_t const oldest = value_of(state_->version()) - commands_.size();
+    std::size_t next = value_of(delivery.sent()) - oldest;
+    std::size_t bytes = 0;
+    while (next < commands_.size() && update.commands.size() < options_.max_commands_per_update &&
+           bytes < options_.max_command_bytes_per_update) {
+        bytes += commands_[next].size();
+        update.commands.push_back(commands_[next++]);
     }
     if (!update.commands.empty())
-        delivery.on_sent(now, version_number{oldest + last}, bytes);
+        delivery.on_sent(now, version_number{oldest + next}, bytes);
 }
 
 void control_host::send_reports(time_point /*now*/) {
--- a/src/version/fleet_state.cpp
+++ b/src/version/fleet_state.cpp
@@ -226,6 +226,12 @@
             addresses_.emplace(service.settings->address, id);
 }
 
+fleet_state fleet_state::for_daemons() const {
+    fleet_state reduced = *this;
+    reduced.routes_ = std::make_shared<configuration const>(without_documents(*routes_));
+    return reduced;
+}
+
 fleet_state::contents fleet_state::save() const {
     contents saved;
     saved.version = version_;
--- a/src/version/route_book.cpp
+++ b/src/version/route_book.cpp
@@ -87,6 +87,26 @@
     return found;
 }
 
+configuration without_documents(configuration from) {
+    from.document.clear();
+    for (route& item : from.routes)
+        item.document.clear();
+    for (routed_service& item : from.services)
+        item.document.clear();
+    return from;
+}
+
+edit_configuration without_documents(edit_configuration from) {
+    from.document.clear();
+    for (list_step<route>& step : from.routes)
+        if (step.added)
+            step.added->document.clear();
+    for (list_step<routed_service>& step : from.services)
+        if (step.added)
+            step.added->document.clear();
+    return from;
+}
+
 edit_configuration make_edit(configuration const& from, configuration const& to) {
     return {from.number,
             to.number,
--- a/src/version/state_follower.cpp
+++ b/src/version/state_follower.cpp
@@ -18,15 +18,8 @@
 }
 
 update_outcome state_follower::apply(state_update const& update) {
-    if (update.snapshot) {
-        auto state = codec_.decode_state(*update.snapshot);
-        if (!state.ok())
-            return update_outcome::malformed;
-        if (state->version() <= version())
-            return update_outcome::nothing_new;
-        state_ = std::make_shared<fleet_state>(*std::move(state));
-        return update_outcome::applied;
-    }
+    if (update.snapshot)
+        return apply(*update.snapshot);
     std::uint64_t const base = value_of(update.base);
     std::uint64_t const own = value_of(version());
     if (base > own)
@@ -41,6 +34,22 @@
         next->apply(*command);
     }
     state_ = std::move(next);
+    if (auto const transfer = receiver_.progress();
+        transfer && transfer->snapshot.version <= version())
+        receiver_.clear();
+    return update_outcome::applied;
+}
+
+update_outcome state_follower::apply(snapshot_part const& part) {
+    if (part.snapshot.version <= version())
+        return update_outcome::nothing_new;
+    auto const complete = receiver_.on_part(part);
+    if (!complete)
+        return update_outcome::partial;
+    auto state = codec_.decode_state(*complete);
+    if (!state.ok() || state->version() != part.snapshot.version)
+        return update_outcome::malformed;
+    state_ = std::make_shared<fleet_state>(*std::move(state));
     return update_outcome::applied;
 }
 
--- a/tests/control_host_test.cpp
+++ b/tests/control_host_test.cpp
@@ -52,8 +52,10 @@
         return sync(host->on_operator(clock.now(), client_id{99}, team, {request, write}));
     }
 
-    control_output send_heartbeat(version_number applied, bool wants_confirmation = false) {
+    control_output send_heartbeat(version_number applied, bool wants_confirmation = false,
+                                  std::optional<snapshot_progress> transfer = {}) {
         heartbeat message;
+        message.transfer = std::move(transfer);
         message.name = "b";
         message.process_instance = 7;
         message.applied = applied;
@@ -62,6 +64,25 @@
     }
 };
 
+// Exchanges heartbeats and updates until the follower has the version of the host. Returns the
+// number of parts of snapshots that it took.
+std::size_t catch_up(single_host& control, state_follower& follower) {
+    constexpr int max_rounds = 2000;
+    std::size_t parts = 0;
+    for (int i = 0; i < max_rounds && follower.version() < control.host->state().version(); ++i) {
+        auto const output = control.send_heartbeat(follower.version(), false, follower.transfer());
+        for (auto const& item : output.to_clients)
+            if (auto const* update = std::get_if<state_update>(&item.message)) {
+                auto const outcome = follower.on_update(control.clock.now(), *update);
+                CHECK(outcome != update_outcome::gap);
+                CHECK(outcome != update_outcome::malformed);
+                parts += update->snapshot ? 1 : 0;
+            }
+    }
+    CHECK(follower.version() == control.host->state().version());
+    return parts;
+}
+
 std::size_t count_commands(control_output const& output) {
     std::size_t count = 0;
     for (auto const& item : output.to_clients)
@@ -97,10 +118,7 @@
     for (int i = 0; i < 5000; ++i)
         (void)control.write_setting(std::to_string(i));
     state_follower follower(make_state_codec(), 7);
-    auto const output = control.send_heartbeat({});
-    for (auto const& item : output.to_clients)
-        (void)follower.on_update(control.clock.now(), std::get<state_update>(item.message));
-    CHECK(follower.version() == control.host->state().version());
+    CHECK(catch_up(control, follower) > 1);
     (void)control.send_heartbeat(follower.version());
     auto const next = control.write_setting("more");
     for (auto const& item : next.to_clients)
@@ -127,11 +145,7 @@
         held = std::max(held, control.host->log().entry_bytes());
     }
     CHECK(held < 16'000'000);
-    auto const output = control.send_heartbeat({});
-    REQUIRE(output.to_clients.size() == 1);
-    auto const& update = std::get<state_update>(output.to_clients.front().message);
-    CHECK(update.snapshot.has_value()); // smaller than the commands would be
-    CHECK(follower.on_update(control.clock.now(), update) == update_outcome::applied);
+    CHECK(catch_up(control, follower) > 1); // smaller than the commands would be
     CHECK(follower.state()->routes()->number == 60);
 }
 
@@ -153,7 +167,8 @@
     CHECK(follower.on_update({}, update) == update_outcome::applied);
     CHECK(follower.on_update({}, update) == update_outcome::nothing_new);
     state_update old_snapshot;
-    old_snapshot.snapshot = make_state_codec().encode_state(fleet_state{});
+    auto const made = make_snapshot({}, make_state_codec().encode_state(fleet_state{}));
+    old_snapshot.snapshot = snapshot_part{made->id, 0, made->bytes};
     CHECK(follower.on_update({}, old_snapshot) == update_outcome::nothing_new);
     CHECK(follower.version() == version_number{4});
     update.base = version_number{4};
--- a/tests/update_delivery_test.cpp
+++ b/tests/update_delivery_test.cpp
@@ -151,8 +151,11 @@
     void deliver() {
         while (!link_queue_.empty() && link_queue_.front().arrives_at <= now()) {
             version_number const before = follower_.version();
+            bool const is_part = link_queue_.front().update.snapshot.has_value();
             update_outcome const outcome = follower_.on_update(now(), link_queue_.front().update);
             link_queue_.pop_front();
+            if (is_part)
+                heartbeats_.request(now());
             if (follower_.version() != before || outcome == update_outcome::gap)
                 heartbeats_.on_update(now());
         }
@@ -166,6 +169,7 @@
         message.name = "b";
         message.process_instance = 7;
         message.applied = follower_.version();
+        message.transfer = follower_.transfer();
         take(host_->on_heartbeat(now(), daemon, message));
     }
 
