Find a flow's holder in a number of messages that does not grow with the fleet

Cause: a search without an answer from the flow's first two candidates queried every agent of the service, then every agent. After a release the holder is no longer among the first two; after all processes were killed, every agent answered that it cannot tell, and each such answer drew a probe: 217 packets a flow. Two rounds of queries (services, then the others) also broke the pace: the second waited until the search had expired, so that many flows that had ended were not reported as such. Ruled out: candidates of earlier tables (a balancer that restarted has none); record keepers for placements (lost when all processes end, which is the case in question); a hint in the connection's own packets (neither end returns fields of the system). Change: the order of a flow over all upstreams does not change with the membership, so the holder follows the first two there with only newer upstreams between: the next six of each service are queried before all others. All others follow in one round, which may run 0.3 s ahead of the pace. Agents that cannot tell get probes in the order of the flow, eight for each packet of the caller. No reset while in doubt. Conclusion: the cost of a flow that lives no longer grows with the fleet. One that has ended still costs a query to every agent, 22 bytes each in a batch.

--- a/include/toucanusher/connection/flow_search.h
+++ b/include/toucanusher/connection/flow_search.h
@@ -2,8 +2,9 @@
 // and when it is certain that none of them holds the flow.
 //
 // The first candidates of the flow get the packet itself, since one of them nearly always holds it.
-// All other agents get queries that cover many flows, so that the loss of a thousand flows at once,
-// as in a power failure, costs each agent a few messages and not a thousand.
+// The next ones in the order of the flow are queried before all others: after a release, the holder
+// is still among them. Queries cover many flows, so that the loss of a thousand flows at once, as
+// in a power failure, costs each agent a few messages and not a thousand.
 #pragma once
 
 #include <cstdint>
@@ -34,6 +35,12 @@
 struct flow_search_options {
     endpoint self;                // address to which agents send notices and answers
     std::uint32_t candidates = 2; // of each service; as many as are compared for a new flow
+    // Further agents of each service in the order of the flow, which are queried next. Upstreams
+    // that joined since the flow was opened precede its holder there, however large the service is.
+    std::uint32_t nearest = 6;
+    // Agents that cannot tell whether they hold a flow and get its packet as a probe, for each
+    // packet of the caller. All agents are in doubt after all of them restarted.
+    std::uint32_t max_probes = 8;
     // An agent answers within a round trip between availability zones, a few milliseconds.
     duration answer_timeout = std::chrono::milliseconds{40};
     // Datagrams are lost at times: an agent that does not answer is queried once more, and again
@@ -43,9 +50,11 @@
     // Flows that are searched for at about the same time share queries.
     duration query_window = std::chrono::milliseconds{4};
     std::size_t max_flows_in_query = 60; // fits a datagram of 1,400 bytes
-    // Queries are paced to a quarter of the slowest link, 3.9 Mbit/s. Answers that queue behind
-    // them would arrive after the timeout, and the search would be repeated for ever.
+    // Queries are paced. Answers that queue behind them would arrive after the timeout, and the
+    // search would be repeated for ever.
     std::size_t bytes_per_second = 120000;
+    // Queries of a scope may follow those of the one before at once, ahead of the pace.
+    duration max_ahead = std::chrono::milliseconds{300};
     std::size_t bytes_per_query = 140; // with the answer and the headers of both datagrams
     std::size_t bytes_per_flow = 22;   // with the state in the answer
     // A search that would need answers of more agents than this never reports that a flow has
@@ -126,7 +135,7 @@
 
   private:
     // The scopes of a search, each of which covers more agents than the one before.
-    enum class search_scope : std::uint8_t { candidates, services, everywhere };
+    enum class search_scope : std::uint8_t { candidates, nearest, everywhere };
     struct search {
         std::vector<std::string> services;
         std::vector<std::string> buffered; // the first one is sent to candidates
@@ -135,6 +144,8 @@
         // Queried agents that have not answered that they do not hold the flow.
         std::vector<endpoint> unanswered;
         std::vector<endpoint> awaited; // of the current scope
+        std::vector<endpoint> unsure;  // of unanswered: agents that are to get a probe
+        std::uint32_t probes_left = 0; // until the next packet of the caller
         bool truncated = false;        // more than max_queried agents are left
         std::uint32_t retries_left = 0;
         std::uint32_t caller_expects = 0;
@@ -161,6 +172,8 @@
     void expire_scopes(time_point now);
     void on_deadline(time_point now, packet_flow const& flow);
     void send_packet(endpoint agent, search const& entry);
+    void send_probes(packet_flow const& flow, search& entry);
+    [[nodiscard]] std::uint64_t rank_of(packet_flow const& flow, endpoint agent) const;
     void add_to_query(time_point now, endpoint agent, packet_flow const& flow);
     void send_queries(time_point now);
     void send_query(time_point now, endpoint agent, std::vector<packet_flow> flows);
@@ -178,7 +191,7 @@
     time_point earliest_deadline_ = time_point::max();
     std::map<endpoint, std::vector<packet_flow>> pending_queries_;
     std::optional<time_point> queries_due_at_; // set while pending_queries_ is not empty
-    time_point link_free_at_{}; // when the share of the link that the last queries took is used up
+    time_point link_free_at_{}; // when the share of the link that the queries took is used up
     std::map<std::uint32_t, open_query> queries_;
     std::uint32_t next_query_ = 1;
     time_point last_control_contact_{};
--- a/src/connection/flow_search.cpp
+++ b/src/connection/flow_search.cpp
@@ -53,6 +53,7 @@
     entry.buffered.push_back(std::move(packet));
     entry.caller_expects = caller_expects;
     entry.retries_left = options_.max_retries;
+    entry.probes_left = options_.max_probes;
     entry.expires_at = now + options_.search_timeout;
     entry.queried.push_back(except);
     query_scope(now, flow, entry);
@@ -65,8 +66,11 @@
         return false;
     search& entry = at->second;
     entry.buffered.push_back(std::move(packet));
+    entry.probes_left = options_.max_probes;
     if (entry.paused)
         retry(now, flow, entry);
+    else
+        send_probes(flow, entry);
     return true;
 }
 
@@ -85,6 +89,7 @@
     search& entry = at->second;
     std::erase(entry.unanswered, agent);
     std::erase(entry.awaited, agent);
+    std::erase(entry.unsure, agent);
     if (entry.awaited.empty() && entry.scope != search_scope::everywhere) {
         entry.scope = static_cast<search_scope>(static_cast<int>(entry.scope) + 1);
         query_scope(now, flow, entry);
@@ -112,8 +117,8 @@
             on_not_held(now, agent, flows[i]);
             break;
         case holder_state::unknown:
-            // The agent cannot tell, so the packet is sent as a probe of its upstream.
-            send_packet(agent, at->second);
+            at->second.unsure.push_back(agent);
+            send_probes(flows[i], at->second);
             break;
         }
     }
@@ -167,7 +172,9 @@
     entry.paused = false;
     entry.awaited = entry.unanswered;
     for (endpoint const agent : entry.awaited)
-        add_to_query(now, agent, flow);
+        if (!contains(entry.unsure, agent))
+            add_to_query(now, agent, flow);
+    send_probes(flow, entry);
     set_deadline(entry, std::max(now, queries_due_at_.value_or(now)) + options_.answer_timeout);
 }
 
@@ -225,10 +232,29 @@
                                 .packet = entry.buffered.front()}});
 }
 
+// Sends the packet as a probe of their upstreams to agents that cannot tell, in the order of the
+// flow.
+void flow_search::send_probes(packet_flow const& flow, search& entry) {
+    std::sort(entry.unsure.begin(), entry.unsure.end(), [&](endpoint left, endpoint right) {
+        return rank_of(flow, left) < rank_of(flow, right);
+    });
+    std::size_t const count = std::min<std::size_t>(entry.probes_left, entry.unsure.size());
+    for (std::size_t i = 0; i < count; ++i)
+        send_packet(entry.unsure[i], entry);
+    entry.unsure.erase(entry.unsure.begin(),
+                       entry.unsure.begin() + static_cast<std::ptrdiff_t>(count));
+    entry.probes_left -= static_cast<std::uint32_t>(count);
+}
+
+std::uint64_t flow_search::rank_of(packet_flow const& flow, endpoint agent) const {
+    auto const known = agents_.find(agent);
+    return known == agents_.end() ? 0 : rendezvous_hash(flow, known->second.seed);
+}
+
 void flow_search::add_to_query(time_point now, endpoint agent, packet_flow const& flow) {
     pending_queries_[agent].push_back(flow);
     if (!queries_due_at_)
-        queries_due_at_ = std::max(now + options_.query_window, link_free_at_);
+        queries_due_at_ = std::max(now + options_.query_window, link_free_at_ - options_.max_ahead);
 }
 
 void flow_search::send_queries(time_point now) {
@@ -244,7 +270,7 @@
     }
     std::chrono::duration<double> const share{static_cast<double>(bytes) /
                                               static_cast<double>(options_.bytes_per_second)};
-    link_free_at_ = now + std::chrono::duration_cast<duration>(share);
+    link_free_at_ = std::max(now, link_free_at_) + std::chrono::duration_cast<duration>(share);
 }
 
 void flow_search::send_query(time_point now, endpoint agent, std::vector<packet_flow> flows) {
@@ -303,9 +329,12 @@
     for (auto const& [agent, known] : agents_)
         if (known.service == service && !contains(entry.queried, agent))
             ordered.emplace_back(rendezvous_hash(flow, known.seed), agent);
-    std::sort(ordered.begin(), ordered.end());
-    if (entry.scope == search_scope::candidates)
-        ordered.resize(std::min<std::size_t>(options_.candidates, ordered.size()));
+    std::size_t const wanted = std::min<std::size_t>(
+        entry.scope == search_scope::candidates ? options_.candidates : options_.nearest,
+        ordered.size());
+    std::partial_sort(ordered.begin(), ordered.begin() + static_cast<std::ptrdiff_t>(wanted),
+                      ordered.end());
+    ordered.resize(wanted);
     std::vector<endpoint> agents;
     for (auto const& [order, agent] : ordered)
         agents.push_back(agent);
--- a/tests/flow_search_test.cpp
+++ b/tests/flow_search_test.cpp
@@ -260,4 +260,151 @@
     CHECK(fleet.search.take_output().results.size() == 1);
 }
 
+namespace {
+
+// A fleet whose upstreams opened flows under an earlier membership. Agents answer in the
+// millisecond in which a message is sent.
+class released_fleet {
+  public:
+    // Every upstream whose number is below `replaced` has been replaced since the flows were
+    // opened.
+    released_fleet(std::uint32_t upstreams, std::uint32_t replaced, bool agents_restarted)
+        : search(flow_search_options{.self = {5, 5}}), agents_restarted_(agents_restarted) {
+        upstreams_by_service before;
+        upstreams_by_service after;
+        for (std::uint32_t i = 0; i < upstreams; ++i) {
+            upstream_choice const old{"u" + std::to_string(i), {100 + i, 1}, "a"};
+            before["batch"].push_back(old);
+            if (i >= replaced)
+                after["batch"].push_back(old);
+            else
+                after["batch"].push_back({"new" + std::to_string(i), {100'000 + i, 1}, "a"});
+        }
+        search.on_control_contact(start);
+        search.set_upstreams(start, after);
+        for (std::uint16_t port = 1; port <= 2000; ++port)
+            if (endpoint const holder = candidate_of(before.at("batch"), port);
+                holder.address >= 100 + replaced)
+                holders_[port] = holder;
+    }
+
+    void run() {
+        for (auto const& [port, holder] : holders_)
+            CHECK(search.begin(now, flow_of(port), {"batch"}, std::to_string(port), 900, {}));
+        for (time_point const end = now + seconds{2}; now < end; now += milliseconds{1}) {
+            search.on_tick(now);
+            step(search.take_output());
+        }
+    }
+
+    [[nodiscard]] std::size_t flows() const { return holders_.size(); }
+    // Queries and probes for each flow that was searched.
+    [[nodiscard]] double messages_per_flow() const {
+        return static_cast<double>(messages_) / static_cast<double>(flows());
+    }
+
+    flow_search search;
+    time_point now = start;
+    std::size_t found = 0;
+    std::size_t wrong = 0;
+
+  private:
+    // The first or second candidate took the flow, whichever was less loaded.
+    static endpoint candidate_of(std::vector<upstream_choice> const& choices, std::uint16_t port) {
+        std::vector<std::pair<std::uint64_t, endpoint>> ranked;
+        for (upstream_choice const& choice : choices)
+            ranked.emplace_back(rendezvous_hash(flow_of(port), rendezvous_seed(choice.name)),
+                                choice.agent);
+        std::partial_sort(ranked.begin(), ranked.begin() + 2, ranked.end());
+        return ranked[port % 2].second;
+    }
+
+    void step(search_output const& out) {
+        for (search_result const& item : out.results) {
+            bool const is_right = item.status == search_result::outcome::found &&
+                                  item.agent == holders_.at(item.flow.caller.port);
+            ++(is_right ? found : wrong);
+        }
+        for (forward_to_agent const& packet : out.packets) {
+            ++messages_;
+            auto const port = static_cast<std::uint16_t>(std::stoi(packet.message.packet));
+            if (holders_.at(port) == packet.agent)
+                search.on_held(packet.agent, flow_of(port));
+            else
+                search.on_not_held(now, packet.agent, flow_of(port));
+        }
+        for (query_agent const& query : out.queries) {
+            messages_ += query.message.flows.size();
+            holder_answer answer{query.message.number, {}};
+            for (packet_flow const& flow : query.message.flows)
+                answer.states.push_back(agents_restarted_ ? holder_state::unknown
+                                        : holders_.at(flow.caller.port) == query.agent
+                                            ? holder_state::held
+                                            : holder_state::not_held);
+            search.on_answer(now, query.agent, answer);
+        }
+    }
+
+    std::map<std::uint16_t, endpoint> holders_;
+    bool agents_restarted_;
+    std::size_t messages_ = 0;
+};
+
+} // namespace
+
+// Load pattern: a release has replaced half of a service, then balancers restart and lose all
+// hints.
+TEST_CASE(
+    "the holder of a flow is found after a release in few messages for any number of agents") {
+    for (std::uint32_t const upstreams : {61U, 217U, 1000U}) {
+        CAPTURE(upstreams);
+        released_fleet fleet(upstreams, upstreams / 2, false);
+        fleet.run();
+        CHECK(fleet.found == fleet.flows());
+        CHECK(fleet.messages_per_flow() < 10);
+        MESSAGE(fleet.messages_per_flow(), " messages a flow");
+    }
+}
+
+// Load pattern: all processes are killed at once and restart, so that no agent has a complete
+// table.
+TEST_CASE("the holder of a flow is found after all agents restarted in few messages") {
+    for (std::uint32_t const upstreams : {61U, 217U, 1000U}) {
+        CAPTURE(upstreams);
+        released_fleet fleet(upstreams, upstreams / 3, true);
+        fleet.run();
+        CHECK(fleet.wrong == 0);
+        CHECK(fleet.found >= fleet.flows() * 99 / 100);
+        CHECK(fleet.messages_per_flow() < 20);
+        MESSAGE(fleet.messages_per_flow(), " messages a flow");
+    }
+}
+
+TEST_CASE(
+    "agents that cannot tell get no more probes than the limit for each packet of the caller") {
+    simulated_fleet fleet(200, every_agent(std::nullopt));
+    fleet.begin(1);
+    auto const answer_all = [&] {
+        std::size_t probes = 0;
+        for (int i = 0; i < 300; ++i, fleet.now += milliseconds{1}) {
+            fleet.search.on_tick(fleet.now);
+            search_output const out = fleet.search.take_output();
+            probes += out.packets.size();
+            for (query_agent const& query : out.queries)
+                fleet.search.on_answer(
+                    fleet.now, query.agent,
+                    {query.message.number,
+                     std::vector(query.message.flows.size(), holder_state::unknown)});
+        }
+        return probes;
+    };
+    flow_search_options const limits;
+    CHECK(answer_all() <= limits.candidates + limits.max_probes);
+    CHECK(fleet.search.buffer(fleet.now, flow_of(1), "data"));
+    CHECK(answer_all() <= limits.max_probes);
+    fleet.run_for(seconds{3});
+    REQUIRE(fleet.results.size() == 1);
+    CHECK(fleet.results[0].status == search_result::outcome::not_found); // no reset while in doubt
+}
+
 } // namespace toucanusher
