Log answered holder queries once a second with their counts

Cause: an agent wrote a line for each query. No line was about one request: queries carry many flows. Change: one line a second with the number of queries and the flows denied, held and unsure.

--- a/programs/packet_agent.cpp
+++ b/programs/packet_agent.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t send_ring_size = 4096;
 constexpr std::uint64_t first_heartbeat_sequence = 1;
 constexpr duration max_idle_wait = std::chrono::seconds{1};
+constexpr duration query_report_interval = std::chrono::seconds{1};
 // An upstream that has announced its end still has to exit. Its callers must not receive a reset
 // before it exits.
 constexpr duration flow_end_delay = std::chrono::milliseconds{300};
@@ -140,6 +141,7 @@
             if (flows_end_at_ && now >= *flows_end_at_)
                 end_incarnation(now);
             execute_output(flows_.on_tick(now));
+            report_queries(now);
         }
     }
 
@@ -275,17 +277,25 @@
         send(forwarding_socket_, {out.balancer, {}, encode_forwarded_message(out.notice)});
     }
     void execute(answer_balancer& out) {
-        std::array<std::size_t, 3> counts{};
         for (holder_state const state : out.answer.states)
-            ++counts[static_cast<std::size_t>(state)];
-        auto const [not_held, held, unknown] = counts;
+            ++answered_.states[static_cast<std::size_t>(state)];
+        ++answered_.queries;
         context_.counters.count("flows_queried", static_cast<double>(out.answer.states.size()));
-        context_.events->info(event_line("holder_query")
-                                  .add("balancer", to_string(out.balancer))
+        send(forwarding_socket_, {out.balancer, {}, encode_forwarded_message(out.answer)});
+    }
+    // Logs one line for the queries of an interval: after a fault of many hosts, every balancer
+    // queries every agent.
+    void report_queries(time_point now) {
+        if (answered_.queries == 0 || now < next_query_report_)
+            return;
+        next_query_report_ = now + query_report_interval;
+        auto const [not_held, held, unknown] = answered_.states;
+        context_.events->info(event_line("holder_queries")
+                                  .add("queries", answered_.queries)
                                   .add("denied", not_held)
                                   .add("held", held)
                                   .add("unsure", unknown));
-        send(forwarding_socket_, {out.balancer, {}, encode_forwarded_message(out.answer)});
+        answered_ = {};
     }
     void execute(reset_flow const& out) {
         send(upstream_socket_, {{out.flow.caller.address, config_.caller_port},
@@ -317,13 +327,21 @@
                                                   .add("reason", std::string(error.message())));
     }
 
+    // The queries that were answered since the last report.
+    struct query_counts {
+        std::size_t queries = 0;
+        std::array<std::size_t, 3> states{}; // flows by holder_state
+    };
+
     process_context& context_;
     forwarding_config config_;
     front_end front_end_;
     ring<agent_event> events_;
     udp_duties udp_;
-    upstream_incarnation incarnation_; // used by the decide duty only, as the next three members
+    upstream_incarnation incarnation_; // used by the decide duty only, as the next five members
     upstream_flows flows_;
+    query_counts answered_;
+    time_point next_query_report_{};
     std::optional<upstream_announcement> last_announced_;
     std::optional<time_point> flows_end_at_; // set once the upstream has announced its end
     std::unique_ptr<udp_port> forwarding_socket_;
