Take the pace of searches from the bandwidth of the host's link

Cause: 120 kB/s was fitted to a link of 3.9 Mbit/s and takes half of one of 2 Mbit/s. Test: edges_test.

--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -40,6 +40,8 @@
     // at growing intervals, so a dropped packet costs more than the wait.
     duration early_packet_timeout = std::chrono::milliseconds{1500};
     std::size_t max_early_packets = 2048;
+    // Bandwidth of the host's link, in bytes per second. Searches use a quarter of it at most.
+    std::uint64_t link_bytes_per_second = 125'000'000;
     // How long an agent that did not answer is avoided.
     duration avoidance_period = std::chrono::seconds{1};
 };
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -98,6 +98,9 @@
         packet_router_options options;
         options.self = context.config.packets->forwarding;
         options.zone = context.config.zone;
+        constexpr double bytes_per_megabit = 1e6 / 8;
+        options.link_bytes_per_second =
+            static_cast<std::uint64_t>(context.config.packets->link_megabits * bytes_per_megabit);
         return options;
     }
 
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -29,6 +29,9 @@
     flow_search_options search;
     search.self = options.self;
     search.candidates = options.offers;
+    constexpr std::uint64_t share_of_link = 4;
+    search.bytes_per_second = std::min<std::size_t>(search.bytes_per_second,
+                                                    options.link_bytes_per_second / share_of_link);
     return search;
 }
 
--- a/src/process/io/daemon_config.cpp
+++ b/src/process/io/daemon_config.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::uint32_t max_milliseconds = 600000;
 constexpr std::uint32_t max_port_number = 65535;
+constexpr double max_link_megabits = 1e6; // per second
 constexpr std::uint32_t max_slots = 4096;
 constexpr std::size_t max_control_hosts = 7;
 constexpr std::uint32_t max_tolerated_losses = 3; // a majority of 7 control hosts remains
@@ -63,6 +64,8 @@
     if (role == process_role::balancer) {
         packets.callers = reader.read_address("callers", std::nullopt);
         packets.linger = reader.read_milliseconds("linger_ms", 0, max_milliseconds, packets.linger);
+        packets.link_megabits =
+            reader.read_decimal("link_mbit_per_s", max_link_megabits, packets.link_megabits);
     } else {
         packets.from_upstream = reader.read_address("from_upstream", std::nullopt);
         packets.upstream = reader.read_address("upstream", std::nullopt);
--- a/src/process/io/daemon_config.h
+++ b/src/process/io/daemon_config.h
@@ -36,6 +36,7 @@
     // balancer
     endpoint callers;                       // callers' packets, delivered by the fabric
     std::chrono::milliseconds linger{1500}; // time that a stopping balancer still forwards packets
+    double link_megabits = 1000;            // per second; bandwidth of the host's network link
     // agent
     endpoint from_upstream; // packets sent by the upstream
     endpoint upstream;      // receives packets and HTTP health checks
--- a/src/process/io/ini_file.cpp
+++ b/src/process/io/ini_file.cpp
@@ -142,6 +142,20 @@
     return value;
 }
 
+double section_reader::read_decimal(std::string const& key, double high,
+                                    std::optional<double> fallback) {
+    auto const text = read_value(key, !fallback);
+    if (!text)
+        return fallback.value_or(high);
+    double value = 0;
+    if (!absl::SimpleAtod(*text, &value) || !(value > 0 && value <= high)) {
+        add_error(key, absl::StrCat("expects a number above 0 and at most ", high, ", not \"",
+                                    *text, "\""));
+        return fallback.value_or(high);
+    }
+    return value;
+}
+
 std::chrono::milliseconds
 section_reader::read_milliseconds(std::string const& key, std::uint32_t low, std::uint32_t high,
                                   std::optional<std::chrono::milliseconds> fallback) {
--- a/src/process/io/ini_file.h
+++ b/src/process/io/ini_file.h
@@ -46,6 +46,8 @@
     std::string read_text(std::string const& key, std::optional<std::string> fallback);
     std::uint32_t read_number(std::string const& key, std::uint32_t low, std::uint32_t high,
                               std::optional<std::uint32_t> fallback);
+    // Reads a positive number that may have a fraction.
+    double read_decimal(std::string const& key, double high, std::optional<double> fallback);
     std::chrono::milliseconds read_milliseconds(std::string const& key, std::uint32_t low,
                                                 std::uint32_t high,
                                                 std::optional<std::chrono::milliseconds> fallback);
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -161,6 +161,27 @@
         CHECK(report.find(part) != std::string::npos);
 }
 
+TEST_CASE("a balancer's settings give the bandwidth of its link as a positive number") {
+    auto const parse = [](std::string const& bandwidth, findings& found) {
+        std::string const text = "[daemon]\nrole = balancer\nname = b1\nzone = a\n[fleet]\n"
+                                 "seeds = 127.0.0.1:1\nlink_port = 2\n[admin]\n"
+                                 "listen = 127.0.0.1:3\n[packets]\ncallers = 127.0.0.1:4\n"
+                                 "carrier = 127.0.0.1:5\nreadiness = 127.0.0.1:6\n" +
+                                 bandwidth;
+        return parse_daemon_config(ini_file::parse("f", text, found), found);
+    };
+    findings none;
+    CHECK(parse("link_mbit_per_s = 8.4\n", none).packets->link_megabits == doctest::Approx(8.4));
+    CHECK(parse("", none).packets->link_megabits == doctest::Approx(1000));
+    INFO(none.to_string());
+    CHECK(none.items().empty());
+    for (char const* wrong : {"0", "-2", "nan", "1e9", "fast"}) {
+        findings found;
+        (void)parse("link_mbit_per_s = " + std::string(wrong) + "\n", found);
+        CHECK(found.items().size() == 1);
+    }
+}
+
 TEST_CASE("event lines quote text and escape line breaks") {
     std::string const text = event_line("x")
                                  .add("name", "a \"b\"\n")
