Let agents survey one another for a balancer that searches ended flows

Cause: to be certain that a flow has ended, a balancer queried every agent over its own link: the bytes grow with flows times agents, on the thinnest links of the fleet. Change: holder_surveyor. A balancer sends the flows to one of each 32 agents, another one each time; it queries the others and returns holders, unsure and silent agents. Up to 16 agents are still queried directly, so small fleets do as before. A reset needs the same answers as before: silent or unsure agents leave the flow in doubt. Queries between agents are as many as before, on links of hundreds of Mbit/s. Conclusion: the balancer's bytes grow with flows times agents over 32, the surveys in batches of 48 flows.

--- a/include/toucanusher/connection/flow_search.h
+++ b/include/toucanusher/connection/flow_search.h
@@ -57,6 +57,12 @@
     duration max_ahead = std::chrono::milliseconds{300};
     std::size_t bytes_per_query = 140; // with the answer and the headers of both datagrams
     std::size_t bytes_per_flow = 22;   // with the state in the answer
+    // More agents than this are queried by surveys, which other agents make: their links carry
+    // more.
+    std::size_t max_direct_queries = 16;
+    std::size_t max_agents_in_survey = 32;
+    std::size_t max_flows_in_survey = 48; // fits a datagram of 1,400 bytes with the agents
+    std::size_t bytes_per_surveyed_agent = 9;
     // A search that would need answers of more agents than this never reports that a flow has
     // ended.
     std::size_t max_queried = 1024;
@@ -78,6 +84,10 @@
     endpoint agent;
     holder_query message;
 };
+struct request_survey {
+    endpoint agent;
+    holder_survey message;
+};
 
 // The result of a search.
 struct search_result {
@@ -97,6 +107,7 @@
 struct search_output {
     std::vector<forward_to_agent> packets;
     std::vector<query_agent> queries;
+    std::vector<request_survey> surveys;
     std::vector<search_result> results;
 };
 
@@ -124,6 +135,7 @@
     void on_held(endpoint agent, packet_flow const& flow);
     void on_not_held(time_point now, endpoint agent, packet_flow const& flow);
     void on_answer(time_point now, endpoint agent, holder_answer const& answer);
+    void on_survey_result(time_point now, endpoint agent, survey_result const& result);
     void on_tick(time_point now);
     // Returns when on_tick() next has work, or nothing if no timer is pending.
     [[nodiscard]] std::optional<time_point> next_due() const;
@@ -158,6 +170,12 @@
         std::uint64_t seed = 0; // hashed with a flow into the rendezvous order of candidates
         std::optional<time_point> left_at; // unset while in the view
     };
+    struct open_survey {
+        endpoint surveyor;
+        std::vector<endpoint> agents; // sorted
+        std::vector<packet_flow> flows;
+        time_point expires_at{};
+    };
     struct open_query {
         endpoint agent;
         std::vector<packet_flow> flows;
@@ -174,7 +192,11 @@
     void send_packet(endpoint agent, search const& entry);
     void send_probes(packet_flow const& flow, search& entry);
     [[nodiscard]] std::uint64_t rank_of(packet_flow const& flow, endpoint agent) const;
-    void add_to_query(time_point now, endpoint agent, packet_flow const& flow);
+    void query_agents(time_point now, packet_flow const& flow, std::vector<endpoint> const& agents);
+    void schedule_queries(time_point now);
+    std::size_t send_surveys(time_point now);
+    void add_denials(time_point now, packet_flow const& flow, std::vector<endpoint> const& agents,
+                     std::vector<endpoint> const& unsure);
     void send_queries(time_point now);
     void send_query(time_point now, endpoint agent, std::vector<packet_flow> flows);
     void conclude(time_point now, search_map::iterator at);
@@ -190,10 +212,13 @@
     // Lower bound of the deadlines of all searches.
     time_point earliest_deadline_ = time_point::max();
     std::map<endpoint, std::vector<packet_flow>> pending_queries_;
-    std::optional<time_point> queries_due_at_; // set while pending_queries_ is not empty
+    std::vector<packet_flow> pending_surveys_;
+    // Set while there are pending queries or surveys.
+    std::optional<time_point> queries_due_at_;
     time_point link_free_at_{}; // when the share of the link that the queries took is used up
     std::map<std::uint32_t, open_query> queries_;
-    std::uint32_t next_query_ = 1;
+    std::map<std::uint32_t, open_survey> surveys_;
+    std::uint32_t next_query_ = 1; // number of a query or survey
     time_point last_control_contact_{};
     search_output output_;
 };
--- a/include/toucanusher/connection/forwarded_message.h
+++ b/include/toucanusher/connection/forwarded_message.h
@@ -87,6 +87,36 @@
     friend bool operator==(holder_answer const&, holder_answer const&) = default;
 };
 
-using forwarded_message = std::variant<forwarded_packet, flow_notice, holder_query, holder_answer>;
+// Requests an agent to query other agents, possibly itself among them, which of the flows they
+// hold.
+struct holder_survey {
+    std::uint32_t number = 0; // echoed in the result
+    endpoint origin;          // address for the result
+    std::vector<endpoint> agents;
+    std::vector<packet_flow> flows;
+
+    friend bool operator==(holder_survey const&, holder_survey const&) = default;
+};
+
+// The agents of the survey that are neither unsure nor silent hold no other flows of it than those
+// listed.
+struct survey_result {
+    struct holder {
+        std::uint32_t flow = 0; // position in the survey
+        endpoint agent;
+
+        friend bool operator==(holder const&, holder const&) = default;
+    };
+
+    std::uint32_t number = 0;
+    std::vector<holder> holders;
+    std::vector<endpoint> unsure; // agents that cannot tell for some of the flows
+    std::vector<endpoint> silent; // agents that did not answer in time
+
+    friend bool operator==(survey_result const&, survey_result const&) = default;
+};
+
+using forwarded_message = std::variant<forwarded_packet, flow_notice, holder_query, holder_answer,
+                                       holder_survey, survey_result>;
 
 } // namespace toucanusher
--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -57,7 +57,7 @@
     packet_flow flow;
     std::uint32_t sequence = 0; // sequence number of the next byte that the caller expects
 };
-using router_action = std::variant<forward_to_agent, query_agent, refuse_flow>;
+using router_action = std::variant<forward_to_agent, query_agent, request_survey, refuse_flow>;
 
 enum class router_event : std::uint8_t {
     placing, // the opening packet of a new flow was sent to its candidates
@@ -101,6 +101,7 @@
     router_output on_packet(time_point now, packet_head const& head, std::string packet);
     router_output on_notice(time_point now, endpoint agent, flow_notice const& notice);
     router_output on_answer(time_point now, endpoint agent, holder_answer const& answer);
+    router_output on_survey_result(time_point now, endpoint agent, survey_result const& result);
     router_output on_tick(time_point now);
     // Returns when on_tick() next has work, or nothing if no timer is pending.
     [[nodiscard]] std::optional<time_point> next_due() const;
--- a/programs/packet_agent.cpp
+++ b/programs/packet_agent.cpp
@@ -10,6 +10,7 @@
 #include "programs/control_session.h"
 #include "src/connection/forwarded_codec.h"
 #include "src/process/io/udp_port.h"
+#include "toucanusher/connection/holder_surveyor.h"
 #include "toucanusher/connection/upstream_flows.h"
 #include "toucanusher/process/overloaded.h"
 #include "toucanusher/process/ring.h"
@@ -46,7 +47,8 @@
     packet_agent(process_context& context, front_end front)
         : context_(context), config_(*context.config.packets), front_end_(std::move(front)),
           events_(event_ring_size), udp_(send_ring_size), incarnation_(config_.service),
-          flows_(flow_options(config_), context.clock.now()) {}
+          flows_(flow_options(config_), context.clock.now()),
+          surveyor_({.self = config_.forwarding}) {}
 
     ~packet_agent() override {
         announcements_.reset();
@@ -133,7 +135,8 @@
         while (!events_.finished()) {
             time_point const idle = context_.clock.now() + max_idle_wait;
             time_point const due =
-                std::min({flows_.next_due().value_or(idle), idle, flows_end_at_.value_or(idle)});
+                std::min({flows_.next_due().value_or(idle), surveyor_.next_due().value_or(idle),
+                          idle, flows_end_at_.value_or(idle)});
             auto event = events_.pop_until(due);
             time_point const now = context_.clock.now();
             if (event)
@@ -141,6 +144,7 @@
             if (flows_end_at_ && now >= *flows_end_at_)
                 end_incarnation(now);
             execute_output(flows_.on_tick(now));
+            execute_output(surveyor_.on_tick(now));
             report_queries(now);
         }
     }
@@ -169,6 +173,14 @@
             execute_output(flows_.on_query(now, *query));
             return;
         }
+        if (auto const* survey = message.ok() ? std::get_if<holder_survey>(&*message) : nullptr) {
+            execute_output(surveyor_.on_survey(now, *survey));
+            return;
+        }
+        if (auto const* answer = message.ok() ? std::get_if<holder_answer>(&*message) : nullptr) {
+            execute_output(surveyor_.on_answer(in.peer, *answer));
+            return;
+        }
         auto* packet = message.ok() ? std::get_if<forwarded_packet>(&*message) : nullptr;
         if (packet == nullptr) {
             refuse_malformed("carrier", message.status());
@@ -256,6 +268,14 @@
         return result;
     }
 
+    void execute_output(surveyor_output const& output) {
+        for (surveyor_output::query const& query : output.queries)
+            send(forwarding_socket_, {query.agent, {}, encode_forwarded_message(query.message)});
+        for (surveyor_output::result const& result : output.results)
+            send(forwarding_socket_,
+                 {result.balancer, {}, encode_forwarded_message(result.message)});
+    }
+
     void execute_output(agent_output output) {
         for (agent_action& action : output.actions)
             std::visit([this](auto& body) { execute(body); }, action);
@@ -338,8 +358,9 @@
     front_end front_end_;
     ring<agent_event> events_;
     udp_duties udp_;
-    upstream_incarnation incarnation_; // used by the decide duty only, as the next five members
+    upstream_incarnation incarnation_; // used by the decide duty only, as the next six members
     upstream_flows flows_;
+    holder_surveyor surveyor_;
     query_counts answered_;
     time_point next_query_report_{};
     std::optional<upstream_announcement> last_announced_;
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -163,6 +163,10 @@
             execute_output(router_.on_answer(now, in.peer, *answer));
             return;
         }
+        if (auto const* result = message.ok() ? std::get_if<survey_result>(&*message) : nullptr) {
+            execute_output(router_.on_survey_result(now, in.peer, *result));
+            return;
+        }
         auto const* notice = message.ok() ? std::get_if<flow_notice>(&*message) : nullptr;
         if (notice == nullptr) {
             refuse_malformed("carrier", message.status());
@@ -196,6 +200,9 @@
     void execute(query_agent const& out) {
         send(forwarding_socket_, {out.agent, {}, encode_forwarded_message(out.message)});
     }
+    void execute(request_survey const& out) {
+        send(forwarding_socket_, {out.agent, {}, encode_forwarded_message(out.message)});
+    }
     void execute(refuse_flow const& out) {
         send(caller_socket_, {{out.flow.caller.address, config_.callers.port},
                               {},
--- a/src/connection/flow_search.cpp
+++ b/src/connection/flow_search.cpp
@@ -130,6 +130,7 @@
     if (queries_due_at_ && now >= *queries_due_at_)
         send_queries(now);
     std::erase_if(queries_, [&](auto const& item) { return now >= item.second.expires_at; });
+    std::erase_if(surveys_, [&](auto const& item) { return now >= item.second.expires_at; });
 }
 
 std::optional<time_point> flow_search::next_due() const {
@@ -161,9 +162,9 @@
         entry.unanswered.push_back(agent);
         if (entry.scope == search_scope::candidates)
             send_packet(agent, entry);
-        else
-            add_to_query(now, agent, flow);
     }
+    if (entry.scope != search_scope::candidates)
+        query_agents(now, flow, entry.awaited);
     set_deadline(entry, std::max(now, queries_due_at_.value_or(now)) + options_.answer_timeout);
 }
 
@@ -171,9 +172,11 @@
 void flow_search::retry(time_point now, packet_flow const& flow, search& entry) {
     entry.paused = false;
     entry.awaited = entry.unanswered;
+    std::vector<endpoint> agents;
     for (endpoint const agent : entry.awaited)
         if (!contains(entry.unsure, agent))
-            add_to_query(now, agent, flow);
+            agents.push_back(agent);
+    query_agents(now, flow, agents);
     send_probes(flow, entry);
     set_deadline(entry, std::max(now, queries_due_at_.value_or(now)) + options_.answer_timeout);
 }
@@ -251,15 +254,25 @@
     return known == agents_.end() ? 0 : rendezvous_hash(flow, known->second.seed);
 }
 
-void flow_search::add_to_query(time_point now, endpoint agent, packet_flow const& flow) {
-    pending_queries_[agent].push_back(flow);
+void flow_search::query_agents(time_point now, packet_flow const& flow,
+                               std::vector<endpoint> const& agents) {
+    if (agents.size() > options_.max_direct_queries)
+        pending_surveys_.push_back(flow);
+    else
+        for (endpoint const agent : agents)
+            pending_queries_[agent].push_back(flow);
+    if (!agents.empty())
+        schedule_queries(now);
+}
+
+void flow_search::schedule_queries(time_point now) {
     if (!queries_due_at_)
         queries_due_at_ = std::max(now + options_.query_window, link_free_at_ - options_.max_ahead);
 }
 
 void flow_search::send_queries(time_point now) {
     queries_due_at_.reset();
-    std::size_t bytes = 0;
+    std::size_t bytes = send_surveys(now);
     for (auto& [agent, flows] : std::exchange(pending_queries_, {})) {
         for (std::size_t first = 0; first < flows.size(); first += options_.max_flows_in_query) {
             auto const begin = flows.begin() + static_cast<std::ptrdiff_t>(first);
@@ -273,6 +286,79 @@
     link_free_at_ = std::max(now, link_free_at_) + std::chrono::duration_cast<duration>(share);
 }
 
+// Surveys all agents for the pending flows. Each part of the agents is surveyed by one of them,
+// which is another one each time, since an agent may have failed. Returns the bytes that this
+// takes.
+std::size_t flow_search::send_surveys(time_point now) {
+    std::vector<packet_flow> const flows = std::exchange(pending_surveys_, {});
+    std::vector<endpoint> agents;
+    for (auto const& [agent, known] : agents_)
+        agents.push_back(agent);
+    std::size_t bytes = 0;
+    for (std::size_t first_flow = 0; first_flow < flows.size();
+         first_flow += options_.max_flows_in_survey) {
+        std::size_t const last_flow =
+            std::min(first_flow + options_.max_flows_in_survey, flows.size());
+        std::vector<packet_flow> const batch(
+            flows.begin() + static_cast<std::ptrdiff_t>(first_flow),
+            flows.begin() + static_cast<std::ptrdiff_t>(last_flow));
+        for (std::size_t first = 0; first < agents.size(); first += options_.max_agents_in_survey) {
+            std::size_t const last = std::min(first + options_.max_agents_in_survey, agents.size());
+            std::vector<endpoint> const part(agents.begin() + static_cast<std::ptrdiff_t>(first),
+                                             agents.begin() + static_cast<std::ptrdiff_t>(last));
+            std::uint32_t const number = next_query_++;
+            endpoint const surveyor = part[number % part.size()];
+            output_.surveys.push_back({surveyor, {number, options_.self, part, batch}});
+            surveys_[number] = {surveyor, part, batch, now + options_.search_timeout};
+            bytes += options_.bytes_per_query + options_.bytes_per_surveyed_agent * part.size() +
+                     options_.bytes_per_flow * batch.size();
+        }
+    }
+    return bytes;
+}
+
+void flow_search::on_survey_result(time_point now, endpoint agent, survey_result const& result) {
+    auto const at = surveys_.find(result.number);
+    if (at == surveys_.end() || at->second.surveyor != agent)
+        return;
+    open_survey const survey = std::move(at->second);
+    surveys_.erase(at);
+    for (survey_result::holder const& held : result.holders) {
+        if (held.flow >= survey.flows.size())
+            continue;
+        if (auto const found = searches_.find(survey.flows[held.flow]); found != searches_.end())
+            finish(found, search_result::outcome::found, held.agent);
+    }
+    std::vector<endpoint> denying;
+    for (endpoint const surveyed : survey.agents)
+        if (!contains(result.unsure, surveyed) && !contains(result.silent, surveyed))
+            denying.push_back(surveyed);
+    for (packet_flow const& flow : survey.flows)
+        add_denials(now, flow, denying, result.unsure);
+}
+
+// Records the answers of many agents for one flow. `agents` are sorted.
+void flow_search::add_denials(time_point now, packet_flow const& flow,
+                              std::vector<endpoint> const& agents,
+                              std::vector<endpoint> const& unsure) {
+    auto const at = searches_.find(flow);
+    if (at == searches_.end())
+        return;
+    search& entry = at->second;
+    auto const denies = [&](endpoint agent) {
+        return std::binary_search(agents.begin(), agents.end(), agent);
+    };
+    std::erase_if(entry.unanswered, denies);
+    std::erase_if(entry.awaited, denies);
+    std::erase_if(entry.unsure, denies);
+    for (endpoint const agent : unsure)
+        if (contains(entry.unanswered, agent) && !contains(entry.unsure, agent))
+            entry.unsure.push_back(agent);
+    send_probes(flow, entry);
+    if (entry.scope == search_scope::everywhere && entry.unanswered.empty())
+        conclude(now, at);
+}
+
 void flow_search::send_query(time_point now, endpoint agent, std::vector<packet_flow> flows) {
     std::uint32_t const number = next_query_++;
     output_.queries.push_back({agent, {number, options_.self, flows}});
--- a/src/connection/forwarded_codec.cpp
+++ b/src/connection/forwarded_codec.cpp
@@ -44,6 +44,19 @@
     return detail::list_fields(archive, value.number, value.states);
 }
 
+template <typename Archive>
+auto fields(Archive& archive, holder_survey& value) {
+    return detail::list_fields(archive, value.number, value.origin, value.agents, value.flows);
+}
+template <typename Archive>
+auto fields(Archive& archive, survey_result::holder& value) {
+    return detail::list_fields(archive, value.flow, value.agent);
+}
+template <typename Archive>
+auto fields(Archive& archive, survey_result& value) {
+    return detail::list_fields(archive, value.number, value.holders, value.unsure, value.silent);
+}
+
 std::string encode_forwarded_message(forwarded_message const& message) {
     return detail::encode(message);
 }
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -201,6 +201,13 @@
     return take_output(now);
 }
 
+router_output packet_router::on_survey_result(time_point now, endpoint agent,
+                                              survey_result const& result) {
+    avoided_until_.erase(agent);
+    search_.on_survey_result(now, agent, result);
+    return take_output(now);
+}
+
 router_output packet_router::on_tick(time_point now) {
     if (now >= earliest_opening_deadline_)
         retry_expired_openings(now);
@@ -315,6 +322,8 @@
         output_.actions.emplace_back(std::move(out));
     for (query_agent& out : found.queries)
         output_.actions.emplace_back(std::move(out));
+    for (request_survey& out : found.surveys)
+        output_.actions.emplace_back(std::move(out));
     for (search_result& result : found.results)
         on_search_result(now, result);
 }
--- a/tests/flow_search_test.cpp
+++ b/tests/flow_search_test.cpp
@@ -8,6 +8,8 @@
 
 #include <doctest/doctest.h>
 
+#include "src/connection/forwarded_codec.h"
+
 namespace toucanusher {
 namespace {
 
@@ -52,12 +54,15 @@
             search_output out = search.take_output();
             packets += out.packets.size();
             queries += out.queries.size();
+            surveys += out.surveys.size();
             for (search_result& item : out.results)
                 results.push_back(std::move(item));
             for (forward_to_agent const& packet : out.packets)
                 answer_packet(packet);
             for (query_agent const& query : out.queries)
                 answer_query(query);
+            for (request_survey const& survey : out.surveys)
+                answer_survey(survey);
         }
     }
 
@@ -87,6 +92,27 @@
         search.on_answer(now, query.agent, answer);
     }
 
+    // The surveying agent always works.
+    void answer_survey(request_survey const& request) {
+        survey_result result{request.message.number, {}, {}, {}};
+        for (endpoint const agent : request.message.agents) {
+            bool unsure = false;
+            bool silent = false;
+            for (std::uint32_t i = 0; i < request.message.flows.size(); ++i) {
+                auto const state = answer_hook_(agent, request.message.flows[i]);
+                silent = silent || !state;
+                unsure = unsure || state == holder_state::unknown;
+                if (state == holder_state::held)
+                    result.holders.push_back({i, agent});
+            }
+            if (silent)
+                result.silent.push_back(agent);
+            else if (unsure)
+                result.unsure.push_back(agent);
+        }
+        search.on_survey_result(now, request.agent, result);
+    }
+
     answer_hook answer_hook_;
 
   public:
@@ -94,6 +120,7 @@
     time_point now = start;
     std::size_t packets = 0;
     std::size_t queries = 0;
+    std::size_t surveys = 0;
     std::vector<search_result> results;
 };
 
@@ -288,6 +315,14 @@
                 holders_[port] = holder;
     }
 
+    // Keeps this number of flows, none of which any upstream holds.
+    void keep_ended(std::size_t count) {
+        while (holders_.size() > count)
+            holders_.erase(std::prev(holders_.end()));
+        for (auto& [port, holder] : holders_)
+            holder = {};
+    }
+
     void run() {
         for (auto const& [port, holder] : holders_)
             CHECK(search.begin(now, flow_of(port), {"batch"}, std::to_string(port), 900, {}));
@@ -307,6 +342,9 @@
     time_point now = start;
     std::size_t found = 0;
     std::size_t wrong = 0;
+    std::size_t ended = 0;
+    duration ended_after{};      // until the last report of a flow that ended
+    std::size_t query_bytes = 0; // of queries and surveys
 
   private:
     // The first or second candidate took the flow, whichever was less loaded.
@@ -320,7 +358,16 @@
     }
 
     void step(search_output const& out) {
+        for (query_agent const& query : out.queries)
+            query_bytes += encode_forwarded_message(query.message).size();
+        for (request_survey const& survey : out.surveys)
+            query_bytes += encode_forwarded_message(survey.message).size();
         for (search_result const& item : out.results) {
+            if (item.status == search_result::outcome::not_held) {
+                ++ended;
+                ended_after = now - start;
+                continue;
+            }
             bool const is_right = item.status == search_result::outcome::found &&
                                   item.agent == holders_.at(item.flow.caller.port);
             ++(is_right ? found : wrong);
@@ -343,6 +390,21 @@
                                             : holder_state::not_held);
             search.on_answer(now, query.agent, answer);
         }
+        for (request_survey const& survey : out.surveys)
+            answer_survey(survey);
+    }
+
+    void answer_survey(request_survey const& request) {
+        survey_result result{request.message.number, {}, {}, {}};
+        messages_ += request.message.flows.size() * request.message.agents.size();
+        if (agents_restarted_)
+            result.unsure = request.message.agents;
+        for (std::uint32_t i = 0; i < request.message.flows.size(); ++i)
+            for (endpoint const agent : request.message.agents)
+                if (!agents_restarted_ &&
+                    holders_.at(request.message.flows[i].caller.port) == agent)
+                    result.holders.push_back({i, agent});
+        search.on_survey_result(now, request.agent, result);
     }
 
     std::map<std::uint16_t, endpoint> holders_;
@@ -395,6 +457,10 @@
                     fleet.now, query.agent,
                     {query.message.number,
                      std::vector(query.message.flows.size(), holder_state::unknown)});
+            for (request_survey const& survey : out.surveys)
+                fleet.search.on_survey_result(
+                    fleet.now, survey.agent,
+                    {survey.message.number, {}, survey.message.agents, {}});
         }
         return probes;
     };
@@ -407,4 +473,62 @@
     CHECK(fleet.results[0].status == search_result::outcome::not_found); // no reset while in doubt
 }
 
+// Load pattern: all upstreams lost power. The callers of 50 flows return to each of many balancers
+// within a moment, over links of 2 Mbit/s, of which searches use a quarter.
+TEST_CASE("flows that ended are reported within a retransmission, over a link of low bandwidth") {
+    released_fleet fleet(217, 0, false);
+    fleet.keep_ended(50);
+    fleet.run();
+    CHECK(fleet.ended == 50);
+    CHECK(fleet.ended_after < milliseconds{200});
+    MESSAGE((fleet.ended_after / milliseconds{1}), " ms, ", fleet.query_bytes, " bytes of queries");
+    constexpr std::size_t link_bytes_in_time = 250'000 / 5 / 4;
+    CHECK(fleet.query_bytes < link_bytes_in_time);
+}
+
+TEST_CASE("a survey tells the holder of a flow") {
+    constexpr endpoint holder{150, 1};
+    simulated_fleet fleet(217, [&](endpoint agent, packet_flow const&) {
+        return std::optional{agent == holder ? holder_state::held : holder_state::not_held};
+    });
+    fleet.begin(1);
+    fleet.run_for(milliseconds{100});
+    REQUIRE(fleet.results.size() == 1);
+    CHECK(fleet.results[0].status == search_result::outcome::found);
+    CHECK(fleet.results[0].agent == holder);
+    CHECK(fleet.surveys > 0);
+}
+
+TEST_CASE("a silent agent in a survey leaves the flow not found") {
+    constexpr endpoint silent{150, 1};
+    simulated_fleet fleet(
+        217, [&](endpoint agent, packet_flow const&) -> std::optional<holder_state> {
+            return agent == silent ? std::nullopt : std::optional{holder_state::not_held};
+        });
+    fleet.begin(1);
+    fleet.run_for(seconds{3});
+    REQUIRE(fleet.results.size() == 1);
+    CHECK(fleet.results[0].status == search_result::outcome::not_found);
+    CHECK(fleet.results[0].agent == silent);
+}
+
+TEST_CASE("results of unknown surveys, or of other agents, are ignored") {
+    simulated_fleet fleet(40, every_agent(std::nullopt));
+    fleet.begin(1);
+    std::vector<request_survey> surveys;
+    for (int i = 0; i < 200 && surveys.empty(); ++i, fleet.now += milliseconds{1}) {
+        fleet.search.on_tick(fleet.now);
+        surveys = fleet.search.take_output().surveys;
+    }
+    REQUIRE(!surveys.empty());
+    request_survey const& sent = surveys.front();
+    survey_result const forged{sent.message.number, {{0, {7, 7}}}, {}, {}};
+    fleet.search.on_survey_result(fleet.now, {9, 9}, forged);
+    fleet.search.on_survey_result(fleet.now, sent.agent,
+                                  {sent.message.number + 9, {{0, {7, 7}}}, {}, {}});
+    fleet.search.on_survey_result(fleet.now, sent.agent,
+                                  {sent.message.number, {{5, {7, 7}}}, {}, {}});
+    CHECK(fleet.search.take_output().results.empty());
+}
+
 } // namespace toucanusher
