--- a/tests/start_of_all_test.cpp
+++ b/tests/start_of_all_test.cpp
@@ -97,7 +97,7 @@
             take(host_->on_tick(now()));
         }
         announce_upstreams();
-        configure();
+        configure(options_.routes);
         started_ = now();
         for (std::uint32_t i = 0; i < options_.daemons; ++i) {
             daemons_.emplace_back(i, now() + options_.spread * i / options_.daemons);
@@ -117,6 +117,19 @@
         }
     }
 
+    // Puts another configuration in force, whose arrival at the daemons is then awaited.
+    void change(std::uint32_t routes) {
+        for (daemon_model& daemon : daemons_)
+            daemon.in_force_at.reset();
+        configure(routes);
+    }
+
+    // Cuts every fifth daemon off from all control hosts, or connects it again.
+    void set_cut(bool cut) {
+        cut_ = cut;
+        started_ = now();
+    }
+
     // Returns when the last daemon had the configuration, after the start of the first; nothing if
     // one does not have it.
     [[nodiscard]] std::optional<milliseconds> last_in_force() const {
@@ -162,12 +175,12 @@
         }
     }
 
-    void configure() {
+    void configure(std::uint32_t routes) {
         configuration made;
-        made.number = 14;
+        made.number = ++number_;
         for (char const* name : {"veiling-link", "drukwerk"})
             made.services.push_back({name, "/healthz", 2000, std::string(90, 's')});
-        for (std::uint32_t i = 0; i < options_.routes; ++i) {
+        for (std::uint32_t i = 0; i < routes; ++i) {
             route item;
             item.name = "r-a3hw" + std::to_string(i);
             item.address = {0xc6120000 + i, 8443};
@@ -177,8 +190,8 @@
             item.document = std::string(190, 'x');
             made.routes.push_back(std::move(item));
         }
-        take(host_->on_configuration(now(), 1, std::move(made)));
-        REQUIRE(host_->state().routes()->number == 14);
+        take(host_->on_configuration(now(), number_, std::move(made)));
+        REQUIRE(host_->state().routes()->number == number_);
     }
 
     void take(control_output output) {
@@ -208,7 +221,7 @@
     }
 
     void send(daemon_model& daemon, control_message message) {
-        if (daemon.to_daemon.size() > max_queued)
+        if (daemon.to_daemon.size() > max_queued || is_cut(daemon))
             return;
         auto const& update = std::get<state_update>(message);
         std::size_t state = update.snapshot ? snapshot_bytes(update) : 0;
@@ -258,7 +271,7 @@
         update_outcome const outcome = daemon.follower.on_update(now(), update);
         if (outcome == update_outcome::gap || daemon.follower.version() != before)
             daemon.heartbeats.on_update(now());
-        if (daemon.follower.confirmed() && daemon.follower.state()->routes()->number == 14 &&
+        if (daemon.follower.confirmed() && daemon.follower.state()->routes()->number == number_ &&
             !daemon.in_force_at)
             daemon.in_force_at = now();
     }
@@ -271,15 +284,21 @@
         message.applied = daemon.follower.version();
         message.transfer = daemon.follower.transfer();
         message.wants_confirmation = !daemon.follower.confirmed() && !message.transfer;
-        if (daemon.contact.host() != address_of(options_.dead_host))
+        if (daemon.contact.host() != address_of(options_.dead_host) && !is_cut(daemon))
             daemon.to_host.push_back({now() + one_way, message});
     }
 
+    [[nodiscard]] bool is_cut(daemon_model const& daemon) const {
+        return cut_ && daemon.number % 5 == 0;
+    }
+
     start_options options_;
     manual_clock clock_;
     std::unique_ptr<control_host> host_;
     std::vector<daemon_model> daemons_;
     time_point started_{};
+    std::uint64_t number_ = 0; // of the configuration in force
+    bool cut_ = false;
 };
 
 } // namespace
@@ -318,4 +337,22 @@
     }
 }
 
+// Load pattern: a fifth of the balancers is cut off for 7 s while a large configuration is
+// accepted.
+TEST_CASE("daemons that were cut off during a large change have it soon after they are back") {
+    start_model model({.routes = 240});
+    model.run_for(seconds{5});
+    REQUIRE(model.last_in_force());
+    model.set_cut(true);
+    model.run_for(seconds{1});
+    model.change(1240);
+    model.run_for(seconds{6});
+    CHECK_FALSE(model.last_in_force());
+    model.set_cut(false);
+    model.run_for(seconds{20});
+    REQUIRE(model.last_in_force());
+    CHECK(*model.last_in_force() < seconds{3});
+    MESSAGE("in force after ", model.last_in_force()->count(), " ms");
+}
+
 } // namespace toucanusher::tests
