--- a/tests/control_host_test.cpp
+++ b/tests/control_host_test.cpp
@@ -53,9 +53,9 @@
     }
 
     control_output send_heartbeat(version_number applied, bool wants_confirmation = false,
-                                  std::optional<snapshot_progress> transfer = {}) {
+                                  std::optional<snapshot_progress> const& transfer = {}) {
         heartbeat message;
-        message.transfer = std::move(transfer);
+        message.transfer = transfer;
         message.name = "b";
         message.process_instance = 7;
         message.applied = applied;
