Route nothing by a state that control has not confirmed

Cause: a restarted balancer routed by every state that it got, also from a control host that was cut off or behind, and by the checkpoint before the commands after it. A route that was withdrawn, or an upstream that had left, was in use again until the newer versions came. Ruled out: agents (they refuse packets for another service, but not for a withdrawn route). A confirmed process stays confirmed. The load replay drives balancers that are. Not covered: a balancer that restarts while control has no majority serves nothing until it has one.

--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -50,6 +50,9 @@
 struct router_view {
     std::shared_ptr<configuration const> routes; // never null
     upstreams_by_service upstreams;
+    // Control confirmed that this version, or an earlier one of this process, is no older than the
+    // start of the process. Before, an upstream or route may have left that the view still has.
+    bool confirmed = false;
 };
 
 // Resets the flow at the caller, because it was not opened or has ended.
@@ -66,7 +69,7 @@
     delivered,
     searching,
     found,
-    early, // the packet arrived before the first configuration
+    early, // the packet arrived before the first confirmed configuration
     no_route,
     no_upstream,
     refused_by_all,
@@ -94,7 +97,8 @@
   public:
     packet_router(packet_router_options options, time_point now);
 
-    // Replaces the view. The first configuration also routes the packets that were buffered for it.
+    // Replaces the view. The first confirmed configuration also routes the packets that were
+    // buffered for it; no packet is routed by an unconfirmed one.
     router_output set_view(time_point now, router_view view);
     // Records when a control host that can reach the leader last responded.
     void on_control_contact(time_point when) { search_.on_control_contact(when); }
@@ -132,6 +136,7 @@
         time_point arrived_at{};
     };
 
+    [[nodiscard]] bool can_route() const;
     void route_packet(time_point now, packet_head const& head, std::string packet);
     void buffer_early_packet(time_point now, packet_head const& head, std::string packet);
     void open_flow(time_point now, packet_head const& head, std::string packet);
--- a/programs/packet_balancer.cpp
+++ b/programs/packet_balancer.cpp
@@ -130,15 +130,17 @@
                 event_line("ready").add("configuration", view.state->routes()->number));
         }
         router_.on_control_contact(view.last_leader_contact);
-        if (state_ == view.state)
+        if (state_ == view.state && confirmed_ == view.confirmed)
             return;
+        confirmed_ = view.confirmed;
         if (!state_ || state_->routes()->number != view.state->routes()->number)
             context_.events->info(event_line("configuration_in_force")
+                                      .add("confirmed", view.confirmed ? 1 : 0)
                                       .add("number", view.state->routes()->number)
                                       .add("routes", view.state->routes()->routes.size())
                                       .add("version", value_of(view.state->version())));
         state_ = std::move(view.state);
-        execute_output(router_.set_view(now, make_view(*state_)));
+        execute_output(router_.set_view(now, make_view(*state_, confirmed_)));
     }
 
     void on_event(time_point now, received_datagram& in) {
@@ -175,8 +177,8 @@
         execute_output(router_.on_notice(now, in.peer, *notice));
     }
 
-    static router_view make_view(fleet_state const& state) {
-        router_view view{state.routes(), {}};
+    static router_view make_view(fleet_state const& state, bool confirmed) {
+        router_view view{state.routes(), {}, confirmed};
         for (upstream_record const* record : state.upstreams())
             if (record->announcement.reports_flows)
                 view.upstreams[record->announcement.service].push_back(
@@ -248,6 +250,7 @@
     udp_duties udp_;
     packet_router router_; // used by the decide duty only, as the next two members
     std::shared_ptr<fleet_state const> state_; // null before the first update
+    bool confirmed_ = false;
     std::optional<time_point> stops_at_;
     std::atomic<bool> ready_{false}; // stays true once set
     std::atomic<bool> stopping_{false};
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -89,7 +89,7 @@
     }
     search_.set_upstreams(now, view.upstreams);
     view_ = std::move(view);
-    if (view_.routes->number > 0)
+    if (can_route())
         for (early_packet& kept : std::exchange(early_packets_, {}))
             if (now - kept.arrived_at <= options_.early_packet_timeout)
                 route_packet(now, kept.head, std::move(kept.packet));
@@ -98,13 +98,17 @@
 
 router_output packet_router::on_packet(time_point now, packet_head const& head,
                                        std::string packet) {
-    if (view_.routes->number == 0)
+    if (!can_route())
         buffer_early_packet(now, head, std::move(packet));
     else
         route_packet(now, head, std::move(packet));
     return take_output(now);
 }
 
+bool packet_router::can_route() const {
+    return view_.confirmed && view_.routes->number > 0;
+}
+
 void packet_router::buffer_early_packet(time_point now, packet_head const& head,
                                         std::string packet) {
     record(router_event::early, head.flow);
--- a/tests/load_replay.cpp
+++ b/tests/load_replay.cpp
@@ -144,7 +144,7 @@
                     std::chrono::duration_cast<milliseconds>(options_.classes[i].objective);
             routes->routes.push_back(item);
         }
-        router_view view{routes, {}};
+        router_view view{routes, {}, true};
         for (std::uint32_t i = 0; i < upstreams_.size(); ++i)
             if (upstreams_[i]->present)
                 view.upstreams["s"].push_back({std::to_string(i), agent_address(i), "z",
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -46,7 +46,8 @@
 router_view make_view(std::shared_ptr<configuration const> routes) {
     return {std::move(routes),
             {{"batch", {{"u1", first_agent, "a", false}, {"u2", second_agent, "a", false}}},
-             {"artwork", {{"u3", artwork_agent, "a", false}}}}};
+             {"artwork", {{"u3", artwork_agent, "a", false}}}},
+            true};
 }
 
 packet_router make_router(std::vector<weighted_service> split = {{"batch", 1}}) {
@@ -293,6 +294,26 @@
               .empty());
 }
 
+// A restarted balancer gets its first state from a control host that is behind: batch has moved
+// away from the upstream that the state names.
+TEST_CASE("a restarted balancer routes nothing by a state that control has not confirmed") {
+    packet_router_options options;
+    options.self = {5, 5};
+    packet_router router(options, start);
+    router_view old = make_view(make_routes(1, {{"artwork", 1}}));
+    old.confirmed = false;
+    (void)router.set_view(start, old);
+    auto const out = router.on_packet(start, head_of(flow_a, true), "opening");
+    CHECK(out.actions.empty());
+    CHECK(count_decisions(out, router_event::early) == 1);
+    old.routes = make_routes(2, {{"artwork", 1}});
+    CHECK(router.set_view(start + milliseconds{10}, old).actions.empty());
+    auto const routed = forwarded(
+        router.set_view(start + milliseconds{50}, make_view(make_routes(3, {{"batch", 1}}))));
+    REQUIRE(routed.size() == 1);
+    CHECK(routed[0].message.service == "batch");
+}
+
 // After an outage all flows are opened again, and new weights send them to a service with two
 // upstreams, while the seven upstreams of the other service are idle.
 TEST_CASE("a flow that its service cannot serve in time goes to another service of the route") {
