--- /dev/null
+++ b/review/3/run.py
@@ -0,0 +1,104 @@
+"""The clock of a machine jumps back, its target crashes and starts again, and the agent ignores what
+the new target says, its draining included. See claim.txt."""
+
+import os
+import random
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+from fleet import (BROKEN, DRAIN_PERIOD, HELD, NOT_RUN, STABILITY_WINDOW, TROUBLE, Fleet, Operator,
+                   make_configuration)
+from flows import Client, Target
+
+SERVICE = "huvo11a"
+ROUTE = ("198.18.0.1", 8443)
+CLOCK_STEP = 2.4  # seconds, back
+CRASHED_FOR = 1.0
+RATE = 20  # requests a second
+LINGER = 4.0
+CONTROL = {"lisboa-a": "127.43.1.1", "lisboa-b": "127.43.2.1", "lisboa-c": "127.43.3.1"}
+BALANCER = "127.43.1.2"
+SIDE = ["127.43.1.11", "127.43.2.11"]
+CLIENT = "127.43.9.1"
+
+
+def unix_ms(step=0.0):
+    return int((time.time() + step) * 1000)
+
+
+def load(record, client, stop):
+    number = 0
+    while not stop.is_set():
+        number += 1
+        client.request(f"q{number:05d}")
+        time.sleep(random.expovariate(RATE))
+
+
+def run(fleet):
+    record = fleet.record
+    fleet.seeds = [fleet.control_address(address) for address in CONTROL.values()]
+    for zone, address in CONTROL.items():
+        fleet.add("control", f"edge-{zone}-1", address, zone, with_disk=True).start()
+    fleet.add("balancer", "edge-lisboa-a-2", BALANCER, "lisboa-a").start()
+    for address in SIDE:
+        fleet.add("agent", f"side-{address}", address, "lisboa-a", Service=SERVICE,
+                  app=f"{address}:{fleet.ports.app}").start()
+    operator = Operator(record, fleet.seeds)
+    if not operator.put(make_configuration(7), until=20.0):
+        return NOT_RUN
+    steady = Target(fleet, "i-steady", SIDE[0], SERVICE, unix_ms(), "lisboa-a")
+    time.sleep(3.0)
+    client = Client(fleet, CLIENT, lambda: [BALANCER], ROUTE)
+    stop = threading.Event()
+    threading.Thread(target=load, args=(record, client, stop), daemon=True).start()
+    time.sleep(2.0)
+
+    # A target is added.
+    leaving = Target(fleet, "i-first", SIDE[1], SERVICE, unix_ms(), "lisboa-a")
+    time.sleep(0.7)
+    if TROUBLE:
+        record.add(f"the clock of {SIDE[1]} jumps back by {CLOCK_STEP} s")
+        leaving.stop("i-first crashes")
+        time.sleep(CRASHED_FOR)
+        leaving = Target(fleet, "i-second", SIDE[1], SERVICE, unix_ms(-CLOCK_STEP), "lisboa-a")
+    # The clock jumps back again, which concerns nothing here; then the deployment is calm.
+    time.sleep(2 * STABILITY_WINDOW)
+    calm_from = record.now() - STABILITY_WINDOW
+    record.add(f"calm since {calm_from:.1f} s")
+    leaving.drain(LINGER)
+    time.sleep(1.0)
+    stop.set()
+    time.sleep(Client.DEADLINE)
+    acknowledged = leaving.drain_acknowledged
+    answered = sum(1 for call in client.done if call["outcome"] == "200")
+    record.add(f"{answered} of {len(client.done)} requests answered; runs: "
+               f"{len(steady.runs)} and {len(leaving.runs)}")
+    if acknowledged is None or not answered or not steady.runs:
+        return NOT_RUN
+    late = [at for at in leaving.openings if at > acknowledged + DRAIN_PERIOD]
+    sent_late = [at for at in late
+                 if any(call["sent_at"] > acknowledged + DRAIN_PERIOD and
+                        abs(call["sent_at"] - at) < 1.4 for call in client.calls.values())]
+    if not sent_late:
+        return HELD
+    record.add(f"BROKEN: {len(sent_late)} opening packets reached {leaving.name} later than "
+               f"DrainPeriodMs after its draining was acknowledged at {acknowledged:.3f}, the last "
+               f"{sent_late[-1] - acknowledged:.1f} s after")
+    return BROKEN
+
+
+def main():
+    folder = os.path.dirname(os.path.abspath(__file__))
+    fleet = Fleet(folder, list(CONTROL.values()) + [BALANCER, CLIENT] + SIDE)
+    try:
+        outcome = run(fleet)
+        fleet.record.add(f"exit {outcome}")
+    finally:
+        fleet.close()
+    return outcome
+
+
+if __name__ == "__main__":
+    sys.exit(main())
