--- a/review/3/run.py
+++ b/review/3/run.py
@@ -8,8 +8,8 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
-from fleet import (BROKEN, DRAIN_PERIOD, HELD, NOT_RUN, STABILITY_WINDOW, TROUBLE, Fleet, Operator,
-                   make_configuration)
+from fleet import (BROKEN, DRAIN_PERIOD, HELD, NOT_RUN, STABILITY_WINDOW, TROUBLE, Operator,
+                   make_configuration, run_case)
 from flows import Client, Target
 
 SERVICE = "huvo11a"
@@ -89,16 +89,5 @@
     return BROKEN
 
 
-def main():
-    folder = os.path.dirname(os.path.abspath(__file__))
-    fleet = Fleet(folder, list(CONTROL.values()) + [BALANCER, CLIENT] + SIDE)
-    try:
-        outcome = run(fleet)
-        fleet.record.add(f"exit {outcome}")
-    finally:
-        fleet.close()
-    return outcome
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    run_case(run, __file__, list(CONTROL.values()) + [BALANCER, CLIENT] + SIDE)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -277,3 +277,18 @@
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000,
                    "IdleTimeoutMs": 15000},
     }
+
+
+def run_case(run, case_file, addresses):
+    """Runs a case with a fleet on the addresses; ends its processes and the program."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    fleet = Fleet(os.path.dirname(os.path.abspath(case_file)), addresses)
+    outcome = NOT_RUN
+    try:
+        outcome = run(fleet)
+        fleet.record.add(f"exit {outcome}")
+    except Exception as fault:  # the case could not run
+        fleet.record.add(f"exit {NOT_RUN}: {fault!r}")
+    finally:
+        fleet.close()
+    sys.exit(outcome)
