--- a/review/3/run.py
+++ b/review/3/run.py
@@ -16,11 +16,11 @@
 ROUTE = ("198.18.0.1", 8443)
 CLOCK_STEP = 2.4  # seconds, back
 CRASHED_FOR = 1.0
-RATE = 20  # requests a second
+RATE = 40  # requests a second
 LINGER = 4.0
-CONTROL = {"lisboa-a": "127.43.1.1", "lisboa-b": "127.43.2.1", "lisboa-c": "127.43.3.1"}
+CONTROL = {"naaldwijk": "127.43.1.1", "honselersdijk": "127.43.2.1", "poeldijk": "127.43.3.1"}
 BALANCER = "127.43.1.2"
-SIDE = ["127.43.1.11", "127.43.2.11"]
+SIDE = [f"127.43.{1 + i % 3}.{11 + i}" for i in range(7)]
 CLIENT = "127.43.9.1"
 
 
@@ -41,14 +41,15 @@
     fleet.seeds = [fleet.control_address(address) for address in CONTROL.values()]
     for zone, address in CONTROL.items():
         fleet.add("control", f"edge-{zone}-1", address, zone, with_disk=True).start()
-    fleet.add("balancer", "edge-lisboa-a-2", BALANCER, "lisboa-a").start()
+    fleet.add("balancer", "edge-naaldwijk-2", BALANCER, "naaldwijk").start()
     for address in SIDE:
-        fleet.add("agent", f"side-{address}", address, "lisboa-a", Service=SERVICE,
+        fleet.add("agent", f"side-{address}", address, "naaldwijk", Service=SERVICE,
                   app=f"{address}:{fleet.ports.app}").start()
     operator = Operator(record, fleet.seeds)
     if not operator.put(make_configuration(7), until=20.0):
         return NOT_RUN
-    steady = Target(fleet, "i-steady", SIDE[0], SERVICE, unix_ms(), "lisboa-a")
+    steady = [Target(fleet, f"i-steady-{i}", address, SERVICE, unix_ms(), "naaldwijk", slots=3)
+              for i, address in enumerate(SIDE[1:])]
     time.sleep(3.0)
     client = Client(fleet, CLIENT, lambda: [BALANCER], ROUTE)
     stop = threading.Event()
@@ -56,13 +57,14 @@
     time.sleep(2.0)
 
     # A target is added.
-    leaving = Target(fleet, "i-first", SIDE[1], SERVICE, unix_ms(), "lisboa-a")
+    leaving = Target(fleet, "i-first", SIDE[0], SERVICE, unix_ms(), "naaldwijk", slots=3)
     time.sleep(0.7)
     if TROUBLE:
-        record.add(f"the clock of {SIDE[1]} jumps back by {CLOCK_STEP} s")
+        record.add(f"the clock of {SIDE[0]} jumps back by {CLOCK_STEP} s")
         leaving.stop("i-first crashes")
         time.sleep(CRASHED_FOR)
-        leaving = Target(fleet, "i-second", SIDE[1], SERVICE, unix_ms(-CLOCK_STEP), "lisboa-a")
+        leaving = Target(fleet, "i-second", SIDE[0], SERVICE, unix_ms(-CLOCK_STEP), "naaldwijk",
+                         slots=3)
     # The clock jumps back again, which concerns nothing here; then the deployment is calm.
     time.sleep(2 * STABILITY_WINDOW)
     calm_from = record.now() - STABILITY_WINDOW
@@ -74,8 +76,8 @@
     acknowledged = leaving.drain_acknowledged
     answered = sum(1 for call in client.done if call["outcome"] == "200")
     record.add(f"{answered} of {len(client.done)} requests answered; runs: "
-               f"{len(steady.runs)} and {len(leaving.runs)}")
-    if acknowledged is None or not answered or not steady.runs:
+               f"{[len(target.runs) for target in steady + [leaving]]}")
+    if acknowledged is None or not answered or not steady[0].runs:
         return NOT_RUN
     late = [at for at in leaving.openings if at > acknowledged + DRAIN_PERIOD]
     sent_late = [at for at in late
