Say on control hosts why there is no leader and which hosts wait for a place

What callers saw: the configuration did not come (CONFIG), and the logs of the balancers could not tell why. They name the hosts that were asked and that no answer knew a leader; no line of a control host says whether it was ever admitted, how many voters it reaches, or that every place for a member is taken.

Change: a control host without contact to a leader for 1.2 s writes no_leader once a second, with the voters and learners, how many of them it reaches, and the free places; a leader writes host_waits for hosts in contact that are not members. The same numbers are metrics. plan_hosts and the survey share what a waiting host and a free place are. The decisions are unchanged.

--- a/include/toucanusher/process/host_plan.h
+++ b/include/toucanusher/process/host_plan.h
@@ -33,6 +33,19 @@
     bool superseded = false;  // another host id answers at its address: its disk is lost
 };
 
+// The members of the log and the places for more, as one host sees them.
+struct host_survey {
+    std::size_t voters = 0;
+    std::size_t voters_reachable = 0; // in contact within voter_timeout, this host included
+    std::size_t learners = 0;
+    std::size_t learners_reachable = 0;
+    std::size_t places_free = 0;
+    std::vector<host_status> waiting; // hosts in contact that are not members
+};
+
+host_survey survey_hosts(host_plan_options const& options, log_members const& members, host_id self,
+                         std::vector<host_status> const& statuses);
+
 // Returns the membership to propose next, or nothing if no change is needed.
 std::optional<log_members> plan_hosts(host_plan_options const& options, log_members const& members,
                                       host_id self, std::vector<host_status> const& statuses);
--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -126,6 +126,11 @@
     [[nodiscard]] bool is_member() const { return !log_.members().voters.empty(); }
     [[nodiscard]] fleet_state const& state() const { return *state_; }
     [[nodiscard]] std::size_t client_count() const { return clients_.size(); }
+    // Returns the members and the hosts that wait for a place. Contacts are known at the leader,
+    // and at every host while there is no leader. Requires automatic_hosts.
+    [[nodiscard]] host_survey survey_hosts(time_point now) const;
+    // Returns how long this host has been without contact to a leader; nothing if it has contact.
+    [[nodiscard]] std::optional<duration> leaderless_for(time_point now) const;
 
   private:
     struct client {
@@ -237,6 +242,7 @@
     configuration_queue configurations_;
     bool was_leader_ = false;
     time_point leader_since_{};
+    time_point last_leader_contact_; // the start of this host until there was one
     time_point next_join_at_{};
     time_point next_announcement_at_{};
     time_point next_plan_at_{};
--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t disk_ring_size = 4096;
 constexpr std::size_t max_client_keys = 4096; // bounds client_keys_
 constexpr duration tick_interval = std::chrono::milliseconds{10};
+// Between surveys of the control hosts, for the log and the metrics.
+constexpr duration survey_interval = std::chrono::seconds{1};
 // Delay before a failed disk write is retried. Until it succeeds, this host acknowledges nothing.
 constexpr duration disk_retry_interval = std::chrono::milliseconds{250};
 // The timeouts tolerate a process that shares a core with others and stalls for a tenth of a
@@ -270,6 +272,10 @@
             execute_output(host_->on_tick(now));
             links_.on_tick(now);
             publish_leadership();
+            if (context_.config.discovered_control && now >= next_survey_) {
+                next_survey_ = now + survey_interval;
+                report_survey(now);
+            }
         }
     }
 
@@ -479,6 +485,39 @@
         is_leader_ = is_leader;
     }
 
+    // Reports a log without a leader and hosts that are not admitted to it.
+    void report_survey(time_point now) {
+        auto const leaderless = host_->leaderless_for(now);
+        bool const leads = host_->log().role() == log_role::leader;
+        if (!leaderless && !leads)
+            return; // a follower has contact with the leader only
+        host_survey const survey = host_->survey_hosts(now);
+        context_.counters.set("control_voters", static_cast<double>(survey.voters));
+        context_.counters.set("control_voters_reachable",
+                              static_cast<double>(survey.voters_reachable));
+        context_.counters.set("control_learners", static_cast<double>(survey.learners));
+        context_.counters.set("control_places_free", static_cast<double>(survey.places_free));
+        context_.counters.set("control_hosts_waiting", static_cast<double>(survey.waiting.size()));
+        auto const add_members = [&](event_line line) {
+            return line.add("voters", survey.voters)
+                .add("voters_reachable", survey.voters_reachable)
+                .add("learners", survey.learners)
+                .add("learners_reachable", survey.learners_reachable)
+                .add("places_free", survey.places_free);
+        };
+        if (leaderless)
+            context_.events->rate_limited_warning(add_members(
+                event_line("no_leader")
+                    .add("for", std::chrono::duration_cast<std::chrono::milliseconds>(*leaderless))
+                    .add("term", host_->log().term())));
+        if (leads && !survey.waiting.empty())
+            context_.events->rate_limited_warning(
+                add_members(event_line("host_waits")
+                                .add("host", value_of(survey.waiting.front().id))
+                                .add("address", to_string(survey.waiting.front().address))
+                                .add("waiting", survey.waiting.size())));
+    }
+
     [[nodiscard]] std::string status() const {
         return absl::StrCat("{\"role\":\"control\",\"id\":", value_of(context_.config.id),
                             ",\"leads\":", is_leader_ ? "true" : "false",
@@ -501,6 +540,7 @@
     std::unique_ptr<http_server> readiness_;
     std::map<std::uint64_t, configuration_responder> pending_calls_; // by call id
     std::uint64_t next_call_id_ = 1;
+    time_point next_survey_{};
     std::map<client_id, std::string> client_keys_; // names of the operators' keys
     std::unique_ptr<http_server> admin_;
     std::atomic<bool> has_leader_{false};
--- a/src/process/host_plan.cpp
+++ b/src/process/host_plan.cpp
@@ -1,6 +1,7 @@
 #include "toucanusher/process/host_plan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "src/process/log_voters.h"
@@ -108,15 +109,25 @@
     return std::nullopt;
 }
 
+std::size_t count_free_places(host_plan_options const& options, log_members const& members) {
+    std::size_t const places = options.max_hosts + 1;
+    std::size_t const taken = members.voters.size() + members.learners.size();
+    return taken < places ? places - taken : 0;
+}
+
+bool is_waiting(log_members const& members, host_status const& status) {
+    bool const known =
+        contains(detail::all_voters(members), status.id) || contains(members.learners, status.id);
+    return !known && !status.superseded && status.since_contact < candidate_timeout;
+}
+
 std::optional<log_members> add_learner(host_plan_options const& options, log_members const& members,
                                        std::vector<host_status> const& statuses) {
-    for (host_status const& status : statuses) {
-        bool const known =
-            contains(members.voters, status.id) || contains(members.learners, status.id);
-        bool const room = members.voters.size() + members.learners.size() < options.max_hosts + 1;
-        if (!known && room && !status.superseded && status.since_contact < candidate_timeout)
+    if (count_free_places(options, members) == 0)
+        return std::nullopt;
+    for (host_status const& status : statuses)
+        if (is_waiting(members, status))
             return with_learner(members, status);
-    }
     return std::nullopt;
 }
 
@@ -141,6 +152,26 @@
 
 } // namespace
 
+host_survey survey_hosts(host_plan_options const& options, log_members const& members, host_id self,
+                         std::vector<host_status> const& statuses) {
+    auto const is_reachable = [&](host_id host) {
+        host_status const* const status = find_status(statuses, host);
+        return host == self || (status != nullptr && !is_lost(options, *status));
+    };
+    auto const count_reachable = [&](std::vector<host_id> const& hosts) {
+        return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), is_reachable));
+    };
+    host_survey survey;
+    survey.voters = members.voters.size();
+    survey.voters_reachable = count_reachable(members.voters);
+    survey.learners = members.learners.size();
+    survey.learners_reachable = count_reachable(members.learners);
+    survey.places_free = count_free_places(options, members);
+    std::copy_if(statuses.begin(), statuses.end(), std::back_inserter(survey.waiting),
+                 [&](host_status const& status) { return is_waiting(members, status); });
+    return survey;
+}
+
 std::optional<log_members> plan_hosts(host_plan_options const& options, log_members const& members,
                                       host_id self, std::vector<host_status> const& statuses) {
     if (!members.next_voters.empty())
--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -35,7 +35,7 @@
       log_(options.log, stored, now, std::move(random), log_faults),
       state_(std::make_shared<fleet_state>(claim_faults)),
       checkpoint_(std::make_shared<fleet_state const>(*state_)), leases_(options.member_lease),
-      configurations_(options.configuration_timeout) {
+      configurations_(options.configuration_timeout), last_leader_contact_(now) {
     if (stored.snapshot.index > 0 && !stored.snapshot.state.empty())
         restore(stored.snapshot);
 }
@@ -242,6 +242,8 @@
 
 void control_host::update_leadership(time_point now) {
     bool const leads = log_.role() == log_role::leader;
+    if (auto const age = log_.leader_contact_age(now))
+        last_leader_contact_ = std::max(last_leader_contact_, now - *age);
     if (leads && !was_leader_) {
         leases_.restart(now);
         directory_.reset_contacts(now, log_.members());
--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -128,6 +128,17 @@
     return log_.role() == log_role::leader || (age && *age < options_.leaderless_join_delay);
 }
 
+host_survey control_host::survey_hosts(time_point now) const {
+    return toucanusher::survey_hosts(*options_.automatic_hosts, log_.members(), options_.log.self,
+                                     directory_.statuses(now));
+}
+
+std::optional<duration> control_host::leaderless_for(time_point now) const {
+    if (has_leader_contact(now))
+        return std::nullopt;
+    return now - last_leader_contact_;
+}
+
 void control_host::request_join(time_point now) {
     if (has_leader_contact(now) || now < next_join_at_)
         return;
