Replace control hosts one after another in the model of control hosts; it fails

The model now replaces machines by empty ones at other addresses in rounds, 1 s and 4 s apart (RejoinWindowS of the smaller sites), and then loses as many disks as are tolerated while every other process is killed. Sizes are 3 and 4 hosts with one loss tolerated, 5 and 8 with two, 7 and 8 with three.

--- /dev/null
+++ b/tests/control_losses_test.cpp
@@ -0,0 +1,51 @@
+// Tests that control hosts keep what they acknowledged, and go on, while machines are replaced one
+// after another and the last fault takes as many disks as are tolerated.
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "tests/host_model.h"
+
+namespace toucanusher::tests {
+namespace {
+
+std::uint64_t environment_number(char const* name, std::uint64_t fallback) {
+    char const* const text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+// Hosts with a disk and the losses that they tolerate, with and without hosts beside the voters.
+struct fleet_size {
+    std::uint32_t machines;
+    std::uint32_t tolerated;
+};
+constexpr fleet_size fleet_sizes[] = {{3, 1}, {4, 1}, {5, 2}, {8, 2}, {7, 3}, {8, 3}};
+
+void check_replacements(replacement_options replacements, std::uint64_t runs) {
+    std::uint64_t const traced = environment_number("TOUCANUSHER_TRACE_SEED", 0);
+    std::uint64_t const last =
+        traced != 0 ? traced : environment_number("TOUCANUSHER_FUZZ_RUNS", runs);
+    for (fleet_size const& size : fleet_sizes)
+        for (std::uint64_t seed = traced != 0 ? traced : 1; seed <= last; ++seed) {
+            host_model_options options;
+            options.machines = size.machines;
+            options.tolerated_losses = size.tolerated;
+            if (traced != 0)
+                options.trace = [](std::string const& text) { std::puts(text.c_str()); };
+            replacements.disks_lost_last = size.tolerated;
+            auto const violation = host_model(options, seed).run_replacements(replacements);
+            INFO(size.machines, " hosts, ", size.tolerated, " losses tolerated, seed ", seed);
+            CHECK_MESSAGE(!violation, violation.value_or(""));
+        }
+}
+
+} // namespace
+
+// On beiral-quotes-grown the hosts that replaced four others were never admitted to the log.
+TEST_CASE("replaced hosts that never return keep no place from their successors") {
+    check_replacements({.rounds = 10}, 10);
+}
+
+} // namespace toucanusher::tests
--- a/tests/host_model.cpp
+++ b/tests/host_model.cpp
@@ -74,16 +74,24 @@
                                                        : machines_[i]->listen_endpoint);
 }
 
-std::optional<std::string> host_model::run() {
+void host_model::form() {
     time_point const restarts_end = clock_.now() + formation_period;
     while (options_.redirector_seeds > 0 && clock_.now() < restarts_end && !violation_) {
         restart_redirectors();
         step(false);
     }
-    time_point const formation_end = clock_.now() + formation_period;
-    while (clock_.now() < formation_end && !violation_)
-        step(false);
+    run_for(formation_period);
     is_forming_ = false;
+}
+
+void host_model::run_for(duration span) {
+    time_point const end = clock_.now() + span;
+    while (clock_.now() < end && !violation_)
+        step(false);
+}
+
+std::optional<std::string> host_model::run() {
+    form();
     time_point const end = clock_.now() + options_.fault_period;
     while (clock_.now() < end && !violation_)
         step(true);
--- a/tests/host_model.h
+++ b/tests/host_model.h
@@ -33,12 +33,29 @@
     std::function<void(std::string const&)> trace;
 };
 
+enum class replaced_host : std::uint8_t { never_returns, returns_with_disk, returns_without_disk };
+
+// Machines that are replaced by empty ones at other addresses, one round after another, oldest
+// first; then some disks are lost while every other process is killed.
+struct replacement_options {
+    std::uint32_t rounds = 4;
+    std::uint32_t machines_per_round = 1;
+    duration successor_delay = std::chrono::seconds{1}; // from a loss to the start of the successor
+    duration round_interval = std::chrono::seconds{4};  // from there to the next loss
+    duration last_interval = std::chrono::seconds{4};   // from there to the last fault
+    std::uint32_t disks_lost_last = 1;
+    replaced_host replaced = replaced_host::never_returns;
+    bool kill_leaders = false; // a leader is killed in each interval
+};
+
 class host_model {
   public:
     host_model(host_model_options options, std::uint64_t seed);
 
     // Injects faults for `fault_period`, then lets the hosts settle. Returns the first violation.
     std::optional<std::string> run();
+    // Replaces machines in rounds instead. Returns the first violation.
+    std::optional<std::string> run_replacements(replacement_options const& replacements);
 
     [[nodiscard]] std::uint64_t accepted() const { return accepted_; }
     [[nodiscard]] std::uint32_t disks_lost() const { return disks_lost_; }
@@ -81,6 +98,12 @@
     void replace_seed(endpoint from, endpoint to);
     void lose_all_power();
     void inject_faults();
+    void form();
+    void replace_machines(replacement_options const& replacements, std::uint32_t round);
+    void return_replaced(machine const& replaced, replaced_host how);
+    void kill_leader();
+    void run_for(duration span);
+    void lose_disks_and_power(std::uint32_t disks);
     void lose_disk(machine& m);
     void crash(machine& m, duration down);
     void start(machine& m, bool is_first_start);
