Give the place of a lost learner to a host that waits for one

What callers saw: after a loss of control hosts the configuration did not come (CONFIG, RECOVER), and changes were not acknowledged. Balancers asked hosts that had never been admitted to the log.

Cause: a voter that was replaced stays as a learner, so that it catches up at once if it returns, until it has been silent for 60 s; a new leader starts that time again. A log has eight places. On a fleet of eight control hosts all are taken from the start, so no machine that replaces another is admitted for 60 s; after four replacements every learner is gone, and the next losses take the majority of the voters for good.

The record of the users agrees: three of the places are learners, the lists of hosts that balancers kept have eight entries, and the seeds answer without members.

Change: a learner that has been silent for longer than voter_timeout (1.5 s) gives its place to a host that is in contact and not a member, the one silent for longest first, in one change of the membership. Without such a host it stays for 60 s as before. A lost voter is never removed this way: it is replaced, and becomes a learner. Since the time is 1.5 s and not 60 s, a new leader that measures it anew delays nothing beyond the time between two tolerated losses. A removed host that returns with its disk asks to join like any other; its old membership cannot elect it, since a majority of the old voters holds the entry that replaced it.

control_losses_test gets replaced hosts that return with and without their disks, and a leader that is killed in each interval.

--- a/include/toucanusher/process/host_plan.h
+++ b/include/toucanusher/process/host_plan.h
@@ -21,6 +21,8 @@
     // A voter without contact for longer is replaced if a learner is ready. This and an election
     // must fit into the interval between two losses that is tolerated, a few seconds.
     duration voter_timeout = std::chrono::milliseconds{1500};
+    // A learner without contact for longer is removed, and after voter_timeout already if its place
+    // is needed for a host in contact.
     duration learner_timeout = std::chrono::seconds{60};
 };
 
--- a/src/process/host_plan.cpp
+++ b/src/process/host_plan.cpp
@@ -121,14 +121,36 @@
     return !known && !status.superseded && status.since_contact < candidate_timeout;
 }
 
+// Returns the learner without contact whose place another host may take: the one that has been
+// silent for longest.
+host_status const* find_lost_learner(host_plan_options const& options, log_members const& members,
+                                     std::vector<host_status> const& statuses) {
+    host_status const* lost = nullptr;
+    for (host_id const learner : members.learners) {
+        host_status const* const status = find_status(statuses, learner);
+        if (status == nullptr || !is_lost(options, *status))
+            continue;
+        if (lost == nullptr || status->since_contact > lost->since_contact)
+            lost = status;
+    }
+    return lost;
+}
+
+// A learner that is lost keeps its place, so that it catches up at once if it returns, only while
+// no other host needs the place.
 std::optional<log_members> add_learner(host_plan_options const& options, log_members const& members,
                                        std::vector<host_status> const& statuses) {
-    if (count_free_places(options, members) == 0)
+    auto const waiting =
+        std::find_if(statuses.begin(), statuses.end(),
+                     [&](host_status const& status) { return is_waiting(members, status); });
+    if (waiting == statuses.end())
         return std::nullopt;
-    for (host_status const& status : statuses)
-        if (is_waiting(members, status))
-            return with_learner(members, status);
-    return std::nullopt;
+    if (count_free_places(options, members) > 0)
+        return with_learner(members, *waiting);
+    host_status const* const lost = find_lost_learner(options, members, statuses);
+    if (lost == nullptr)
+        return std::nullopt;
+    return with_learner(without_host(members, lost->id), *waiting);
 }
 
 // Replaces a lost voter. At no time does the log have fewer voters than planned, since a silent
--- a/tests/control_losses_test.cpp
+++ b/tests/control_losses_test.cpp
@@ -48,4 +48,16 @@
     check_replacements({.rounds = 10}, 10);
 }
 
+TEST_CASE("replaced hosts that return with their disks are no harm") {
+    check_replacements({.rounds = 8, .replaced = replaced_host::returns_with_disk}, 6);
+}
+
+TEST_CASE("replaced hosts that return without their disks are no harm") {
+    check_replacements({.rounds = 8, .replaced = replaced_host::returns_without_disk}, 6);
+}
+
+TEST_CASE("a change of leader between two replacements delays no successor") {
+    check_replacements({.rounds = 8, .kill_leaders = true}, 6);
+}
+
 } // namespace toucanusher::tests
--- a/tests/host_model.h
+++ b/tests/host_model.h
@@ -45,7 +45,9 @@
     duration last_interval = std::chrono::seconds{4};   // from there to the last fault
     std::uint32_t disks_lost_last = 1;
     replaced_host replaced = replaced_host::never_returns;
-    bool kill_leaders = false; // a leader is killed in each interval
+    // A leader is killed in each interval, which then begins again: a killed host counts as lost
+    // until it has rejoined.
+    bool kill_leaders = false;
 };
 
 class host_model {
--- a/tests/host_model_replacements.cpp
+++ b/tests/host_model_replacements.cpp
@@ -24,14 +24,11 @@
         duration const interval =
             replacements.successor_delay +
             (is_last ? replacements.last_interval : replacements.round_interval);
-        if (!replacements.kill_leaders || is_last) {
-            run_for(interval);
-            continue;
+        if (replacements.kill_leaders) {
+            run_for(milliseconds{random_below(interval / milliseconds{1})});
+            kill_leader();
         }
-        duration const before = milliseconds{random_below(interval / milliseconds{1})};
-        run_for(before);
-        kill_leader();
-        run_for(interval - before);
+        run_for(interval);
     }
     lose_disks_and_power(replacements.disks_lost_last);
     settle();
--- a/tests/host_plan_test.cpp
+++ b/tests/host_plan_test.cpp
@@ -1,6 +1,7 @@
 // Tests which control hosts a host plan adds, promotes to voters and replaces.
 #include "toucanusher/process/host_plan.h"
 
+#include <algorithm>
 #include <set>
 
 #include <doctest/doctest.h>
@@ -82,6 +83,53 @@
         plan(members({a, b, c}), {make_status(a), make_status(b), make_status(c, seconds{30})}));
 }
 
+// On beiral-quotes-grown four lost hosts kept their places for 60 s, and their successors waited.
+TEST_CASE("a lost learner gives its place to a host that waits") {
+    constexpr host_id waiting{200};
+    for (std::size_t const voters : {3U, 5U, 7U}) {
+        host_plan_options options;
+        options.voters = voters;
+        log_members current;
+        std::vector<host_status> observed;
+        for (std::uint32_t i = 0; i < options.max_hosts + 1; ++i) {
+            host_id const id{101 + i};
+            (i < voters ? current.voters : current.learners).push_back(id);
+            current.addresses[id] = address_for(id);
+            observed.push_back(make_status(id));
+        }
+        observed.push_back(make_status(waiting, milliseconds{0}, false));
+        CHECK_FALSE(plan_hosts(options, current, a, observed)); // every member is in contact
+        host_status& lost = observed[options.max_hosts];
+        lost.since_contact = options.voter_timeout;
+        CHECK_FALSE(plan_hosts(options, current, a, observed));
+        lost.since_contact += milliseconds{1};
+        auto const next = plan_hosts(options, current, a, observed);
+        REQUIRE(next);
+        CHECK(next->voters == current.voters);
+        CHECK(std::count(next->learners.begin(), next->learners.end(), waiting) == 1);
+        CHECK(std::count(next->learners.begin(), next->learners.end(), lost.id) == 0);
+        CHECK(next->addresses.size() == options.max_hosts + 1);
+        CHECK_FALSE(next->addresses.contains(lost.id));
+        observed.pop_back(); // nobody waits
+        CHECK_FALSE(plan_hosts(options, current, a, observed));
+    }
+}
+
+TEST_CASE("a survey counts the hosts in contact, the free places and those that wait") {
+    constexpr host_id waiting{200};
+    std::vector<host_status> observed = {make_status(a, seconds{9}), make_status(b),
+                                         make_status(c, seconds{3}), make_status(d, seconds{2}),
+                                         make_status(waiting)};
+    host_survey const survey = survey_hosts({}, members({a, b, c}, {d}), a, observed);
+    CHECK(survey.voters == 3);
+    CHECK(survey.voters_reachable == 2); // a is the host itself
+    CHECK(survey.learners == 1);
+    CHECK(survey.learners_reachable == 0);
+    CHECK(survey.places_free == 4);
+    REQUIRE(survey.waiting.size() == 1);
+    CHECK(survey.waiting.front().id == waiting);
+}
+
 TEST_CASE("a host that lost its disk is replaced by a new identity at the same address") {
     constexpr host_id replacement{200};
     std::vector<host_status> observed = {make_status(a), make_status(b),
