Keep the newest addresses that other control hosts report, not the first

What callers would see: a control host that lost its leader, after it had learned 64 addresses of which most are gone, asks none of the newer ones, and daemons behind it find no control (CONFIG).

Cause: host_directory stopped learning once it held max_learned addresses, and never dropped one.

Change: an address that is reported is moved to the end, and the oldest goes once there are too many.

Measured: the new case of host_plan_test fails on the code before (of 101 reports the newest address is unknown) and holds after.

--- a/include/toucanusher/process/host_directory.h
+++ b/include/toucanusher/process/host_directory.h
@@ -1,6 +1,7 @@
 // Host directory of a control host: the ids, addresses and last contact times of its peers.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -17,7 +18,7 @@
     // Records that a message of `host` arrived from `address`.
     void record_contact(time_point now, host_id host, endpoint address);
     // Addresses at which hosts may be reached: set_seeds takes those of the settings files,
-    // add_addresses those that other hosts report.
+    // add_addresses those that other hosts report, of which the newest are kept.
     void set_seeds(std::vector<endpoint> seeds);
     void add_addresses(std::vector<endpoint> const& hosts);
     [[nodiscard]] std::vector<endpoint> const& seeds() const { return seeds_; }
@@ -43,7 +44,7 @@
 
     std::map<host_id, contact> contacts_;
     std::vector<endpoint> seeds_;
-    std::set<endpoint> learned_; // at most max_learned
+    std::deque<endpoint> learned_; // without duplicates, newest last; at most max_learned
 };
 
 } // namespace toucanusher
--- a/src/process/host_directory.cpp
+++ b/src/process/host_directory.cpp
@@ -13,9 +13,12 @@
 }
 
 void host_directory::add_addresses(std::vector<endpoint> const& hosts) {
-    for (endpoint const& address : hosts)
-        if (learned_.size() < max_learned)
-            learned_.insert(address);
+    for (endpoint const& address : hosts) {
+        std::erase(learned_, address);
+        learned_.push_back(address);
+        if (learned_.size() > max_learned)
+            learned_.pop_front();
+    }
 }
 
 void host_directory::reset_contacts(time_point now, log_members const& members) {
--- a/tests/host_plan_test.cpp
+++ b/tests/host_plan_test.cpp
@@ -191,4 +191,17 @@
     CHECK(contacts.address_of(d, {}) == address_for(c));
 }
 
+// A host that had learned 64 addresses, most of them of hosts that were gone, learned no others.
+TEST_CASE("the newest addresses that other hosts report are known, however many came before") {
+    host_directory contacts;
+    for (std::uint32_t i = 1; i <= 100; ++i)
+        contacts.add_addresses({endpoint{i, 7000}});
+    contacts.add_addresses({endpoint{50, 7000}});
+    std::set<endpoint> const known = contacts.known_addresses(address_for(a), {});
+    CHECK(known.size() == 64);
+    CHECK(known.contains(endpoint{100, 7000}));
+    CHECK(known.contains(endpoint{50, 7000}));
+    CHECK_FALSE(known.contains(endpoint{36, 7000}));
+}
+
 } // namespace toucanusher
