Test that a reused caller port follows the newest configuration

Fails on the present code: packet_router::route_packet() delivers an opening packet by the hint of the ended flow.

--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -258,6 +258,24 @@
     CHECK(queried.contains(artwork_agent));
 }
 
+// A caller may use the port of an ended flow again, whose hint outlasts the flow.
+TEST_CASE("a reused caller port does not open a flow at the service of an older configuration") {
+    packet_router router = make_router({{"batch", 1}});
+    auto const before = forwarded(router.on_packet(start, head_of(flow_a, true), "opening"));
+    REQUIRE(before.size() == 1);
+    (void)router.on_notice(start, before[0].agent, make_notice(flow_report::held));
+    packet_head end = head_of(flow_a, false);
+    end.finishes = true;
+    (void)router.on_packet(start + seconds{1}, end, "end");
+    (void)router.set_view(start + seconds{2}, make_view(make_routes(2, {{"artwork", 1}})));
+    auto const after =
+        forwarded(router.on_packet(start + seconds{10}, head_of(flow_a, true), "opening again"));
+    REQUIRE(after.size() == 1);
+    CHECK(after[0].agent == artwork_agent);
+    CHECK(after[0].message.service == "artwork");
+    CHECK(after[0].message.purpose == forward_purpose::open);
+}
+
 TEST_CASE("packets of a removed route are dropped, also those of flows with a hint") {
     packet_router router = make_router();
     (void)router.on_notice(start, first_agent, make_notice(flow_report::held));
