Open a flow by the route in force when a caller reuses the port of an ended flow

Cause: a balancer remembers which agent holds a flow for 90 s after its last packet, and an opening packet followed that hint like any other. So a caller that opened a new connection from the port of one that had ended was sent to the agent and the service of the old one, whatever the route said by then.

Change: an opening packet whose hint names a service that the route does not have drops the hint and is placed like any other. While the route has the service, a repeated opening packet still reaches the agent that has taken the first one.

--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -21,6 +21,13 @@
         known.erase(known.begin());
 }
 
+// Returns whether new flows of the route may go to the service.
+bool has_service(route const& item, std::string const& service) {
+    return std::any_of(item.split.begin(), item.split.end(), [&](weighted_service const& part) {
+        return part.service == service && part.weight > 0;
+    });
+}
+
 bool contains(std::vector<endpoint> const& agents, endpoint agent) {
     return std::find(agents.begin(), agents.end(), agent) != agents.end();
 }
@@ -120,11 +127,19 @@
 void packet_router::route_packet(time_point now, packet_head const& head, std::string packet) {
     bool const opens = head.opens && !head.acknowledges;
     // An established flow is not served either once its route is removed.
-    if (!index_.find(head.flow.route)) {
+    auto const at = index_.find(head.flow.route);
+    if (!at) {
         record(router_event::no_route, head.flow);
         return;
     }
-    auto const known = hints_.find(head.flow);
+    auto known = hints_.find(head.flow);
+    // A caller may reuse the port of an ended flow, whose service the route may no longer have.
+    bool const outdated = opens && known != hints_.end() &&
+                          !has_service(view_.routes->routes[*at], known->second.service);
+    if (outdated) {
+        hints_.erase(known);
+        known = hints_.end();
+    }
     if (known != hints_.end())
         deliver(now, head.flow, known->second, std::move(packet));
     else if (opens)
