--- a/programs/packet_agent.cpp
+++ b/programs/packet_agent.cpp
@@ -238,8 +238,9 @@
         content.follows_state = false;
         if (latest_heartbeat)
             content.upstreams = {make_announcement(*latest_heartbeat)};
-        if (last_announced_ && (!latest_heartbeat || last_announced_->incarnation !=
-                                                         content.upstreams.front().incarnation))
+        if (last_announced_ &&
+            (!latest_heartbeat || last_announced_->name != content.upstreams.front().name ||
+             last_announced_->incarnation != content.upstreams.front().incarnation))
             content.ended_upstreams = {*last_announced_};
         auto const announcement =
             latest_heartbeat ? std::optional(content.upstreams.front()) : std::nullopt;
--- a/tests/claims_test.cpp
+++ b/tests/claims_test.cpp
@@ -142,6 +142,26 @@
     CHECK(state.service_named("batch")->table->buckets_of(second->ref) == 0);
 }
 
+TEST_CASE("an upstream announced with a lower incarnation takes the place of the one before") {
+    for (std::string const name : {"u1", "u2"}) {
+        CAPTURE(name);
+        fleet_state state;
+        upstream_announcement announcement;
+        announcement.service = "batch";
+        announcement.name = "u1";
+        announcement.agent = {1, 9000};
+        announcement.reports_flows = true;
+        announcement.incarnation = incarnation_id{5000};
+        state.apply(announce_upstream{announcement, {}});
+        announcement.name = name;
+        announcement.incarnation = incarnation_id{2600};
+        announcement.draining = true;
+        state.apply(announce_upstream{announcement, {}});
+        REQUIRE(state.upstreams().size() == 1);
+        CHECK(state.upstreams().front()->announcement == announcement);
+    }
+}
+
 TEST_CASE("a lease expires unless it is renewed, and a new leader restarts it") {
     fleet_state state;
     upstream_announcement announcement;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -243,6 +243,33 @@
     }
 }
 
+TEST_CASE("an upstream's late heartbeat, its draining included, is not acknowledged") {
+    upstream_calls calls;
+    upstream_incarnation incarnation("x");
+    calls.announce = [&](upstream_heartbeat const& message,
+                         std::function<void(heartbeat_effect)> const& respond) {
+        respond(incarnation.on_heartbeat(time_point{std::chrono::hours{1}}, message));
+    };
+    http_handler const handler = make_front_end().upstream_api(calls);
+    auto const status_of = [&](std::string const& name, char const* phase, int sequence, int born) {
+        nlohmann::json const body = {
+            {"Service", "x"},    {"Address", "10.0.0.1:8080"}, {"Zone", "z"},
+            {"Version", "v1"},   {"Concurrency", 1},           {"Phase", phase},
+            {"WarmupLeftMs", 0}, {"Sequence", sequence},       {"born", born}};
+        int status = 0;
+        handler({"PUT", "/api/instances/" + name, "", {}, body.dump()},
+                [&](http_response const& response) { status = response.status; });
+        return status;
+    };
+    CHECK(status_of("i-1", "ready", 3, 1000) == 200);
+    CHECK(status_of("i-1", "ready", 4, 1000) == 200);
+    CHECK(status_of("i-1", "draining", 4, 1000) == 409);
+    CHECK(status_of("i-0", "draining", 9, 500) == 409);
+    CHECK_FALSE(incarnation.draining());
+    CHECK(status_of("i-1", "draining", 5, 1000) == 200);
+    CHECK(incarnation.draining());
+}
+
 TEST_CASE("late upstream heartbeats are ignored") {
     upstream_incarnation incarnation("x");
     upstream_heartbeat message;
@@ -269,4 +296,97 @@
     CHECK(incarnation.on_heartbeat(now, misdirected) == heartbeat_effect::other_service);
 }
 
+namespace {
+
+upstream_heartbeat make_heartbeat(std::string const& name, int born, std::uint64_t sequence) {
+    upstream_heartbeat message;
+    message.name = name;
+    message.service = "x";
+    message.sequence = sequence;
+    message.started_at = wall_time{std::chrono::milliseconds{born}};
+    return message;
+}
+
+// Sends heartbeats from `sequence` on until one is not ignored. Returns the time until then, at
+// most ten seconds.
+duration time_until_heard(upstream_incarnation& incarnation, time_point start,
+                          upstream_heartbeat message) {
+    constexpr std::chrono::milliseconds heartbeat_interval{770};
+    time_point now = start;
+    while (now - start < std::chrono::seconds{10} &&
+           incarnation.on_heartbeat(now, message) == heartbeat_effect::late) {
+        now += heartbeat_interval;
+        ++message.sequence;
+    }
+    return now - start;
+}
+
+constexpr time_point heartbeat_start{std::chrono::hours{1}};
+
+} // namespace
+
+TEST_CASE("an upstream that restarts after its clock jumped back is heard") {
+    for (std::string const name : {"i-2", "i-1"}) {
+        CAPTURE(name);
+        upstream_incarnation incarnation("x");
+        for (std::uint64_t sequence = 1; sequence < 5; ++sequence)
+            incarnation.on_heartbeat(heartbeat_start, make_heartbeat("i-1", 5000, sequence));
+        time_point const restart = heartbeat_start + std::chrono::seconds{1};
+        CHECK(time_until_heard(incarnation, restart, make_heartbeat(name, 2600, 1)) <
+              std::chrono::seconds{3});
+        REQUIRE(incarnation.current());
+        CHECK(incarnation.current()->name == name);
+        upstream_heartbeat draining = make_heartbeat(name, 2600, 20);
+        draining.draining = true;
+        CHECK(incarnation.on_heartbeat(restart + std::chrono::seconds{4}, draining) ==
+              heartbeat_effect::renewed);
+        CHECK(incarnation.draining());
+        CHECK(incarnation.on_heartbeat(restart + std::chrono::seconds{4},
+                                       make_heartbeat("i-1", 5000, 9)) == heartbeat_effect::late);
+    }
+}
+
+TEST_CASE("an upstream that restarts under its name with the same start time is heard") {
+    upstream_incarnation incarnation("x");
+    incarnation.on_heartbeat(heartbeat_start, make_heartbeat("i-1", 5000, 50));
+    CHECK(time_until_heard(incarnation, heartbeat_start, make_heartbeat("i-1", 5000, 1)) <
+          std::chrono::seconds{3});
+}
+
+TEST_CASE("an upstream that leaves and restarts after its clock jumped back is heard") {
+    for (std::string const name : {"i-2", "i-1"}) {
+        CAPTURE(name);
+        upstream_incarnation incarnation("x");
+        incarnation.on_heartbeat(heartbeat_start, make_heartbeat("i-1", 5000, 50));
+        REQUIRE(incarnation.on_leave("i-1"));
+        CHECK(time_until_heard(incarnation, heartbeat_start, make_heartbeat(name, 2600, 1)) <
+              std::chrono::seconds{3});
+    }
+}
+
+TEST_CASE("a late heartbeat with a higher start time does not silence a living upstream") {
+    upstream_incarnation incarnation("x");
+    incarnation.on_heartbeat(heartbeat_start, make_heartbeat("i-2", 2600, 1));
+    incarnation.on_heartbeat(heartbeat_start, make_heartbeat("i-1", 5000, 7));
+    CHECK(time_until_heard(incarnation, heartbeat_start, make_heartbeat("i-2", 2600, 2)) <
+          std::chrono::seconds{3});
+    CHECK(incarnation.current()->name == "i-2");
+}
+
+TEST_CASE("late heartbeats do not replace an upstream that goes on sending") {
+    for (auto const& [name, born] : {std::pair{"i-1", 1000}, std::pair{"i-0", 500}}) {
+        CAPTURE(name);
+        upstream_incarnation incarnation("x");
+        incarnation.on_heartbeat(heartbeat_start, make_heartbeat("i-1", 1000, 1));
+        for (std::uint64_t i = 1; i < 50; ++i) {
+            time_point const now = heartbeat_start + i * std::chrono::milliseconds{300};
+            if (i % 4 == 1) // every 1.2 s
+                CHECK(incarnation.on_heartbeat(now, make_heartbeat("i-2", 5000, i)) !=
+                      heartbeat_effect::late);
+            CHECK(incarnation.on_heartbeat(now, make_heartbeat(name, born, i + 1)) ==
+                  heartbeat_effect::late);
+        }
+    }
+}
+
 } // namespace toucanusher::platform
