Acknowledge nothing before more disks hold it than may be lost

Cause: a leader accepted configurations with fewer voters than planned once it had led for formation_timeout, 6 s.

Change: outlives_losses() holds configurations back, and refuses claims (no_leader), until the log has 2f voters at least, of which a majority is f + 1 disks. formation_timeout now only ends the wait for the last of 2f + 1 voters, so that a host that is lost during the first start does not hold up the others. Upstream announcements depend on the agent alone and are not held back.

Tests in control_host_test. Against the code before: 2 of 12 test cases failed: a configuration is not acknowledged by a founder that no host has joined: CHECK_FALSE( true ), 7 == 0 a claim is not acknowledged by a founder that no host has joined: no refusal, it is stored With it all 12 pass.

--- a/include/toucanusher/version/control_host.h
+++ b/include/toucanusher/version/control_host.h
@@ -65,8 +65,8 @@
     duration announcement_interval = std::chrono::milliseconds{500};
     // A caller tries another host after one second, so the answer must be sent before.
     duration configuration_timeout = std::chrono::milliseconds{850};
-    // A new leader accepts no configuration before the log has the planned number of voters or
-    // this time has passed.
+    // A new leader accepts no configuration before the log has the planned number of voters, or as
+    // many as outlive the tolerated losses and this time has passed.
     duration formation_timeout = std::chrono::seconds{6};
 };
 
@@ -189,6 +189,8 @@
     void propose_configuration(time_point now);
     void expire_configuration_reads(time_point now);
     [[nodiscard]] bool accepts_configurations(time_point now) const;
+    // Returns whether more disks store what the log acknowledges than may be lost.
+    [[nodiscard]] bool outlives_losses() const;
     configuration_answer redirect_to_leader(std::uint64_t call) const;
     void propose_host_plan(time_point now);
     [[nodiscard]] bool has_leader_contact(time_point now) const;
--- a/src/version/control_host.cpp
+++ b/src/version/control_host.cpp
@@ -367,6 +367,10 @@
                "a team may write only below its own path");
         return;
     }
+    if (!outlives_losses()) {
+        refuse(from, request.id, control_refusal::no_leader, "the log has too few voters yet");
+        return;
+    }
     log_output output;
     auto const index = log_.propose(now, codec_.encode_command(command), output);
     if (!index.ok()) {
--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -59,13 +59,21 @@
 }
 
 bool control_host::accepts_configurations(time_point now) const {
-    if (log_.role() != log_role::leader)
+    if (log_.role() != log_role::leader || !outlives_losses())
         return false;
     return !options_.automatic_hosts ||
            log_.members().voters.size() >= options_.automatic_hosts->voters ||
            now - leader_since_ >= options_.formation_timeout;
 }
 
+// Of n voters, n / 2 + 1 store what is acknowledged.
+bool control_host::outlives_losses() const {
+    if (!options_.automatic_hosts)
+        return true;
+    std::size_t const tolerated_losses = options_.automatic_hosts->voters / 2;
+    return log_.members().voters.size() / 2 >= tolerated_losses;
+}
+
 configuration_answer control_host::redirect_to_leader(std::uint64_t call) const {
     if (!log_.leader() || *log_.leader() == options_.log.self)
         return {.call = call};
--- a/tests/control_host_test.cpp
+++ b/tests/control_host_test.cpp
@@ -275,4 +275,103 @@
     CHECK(restarted.hosts_for(now + delay, host_address).empty());
 }
 
+namespace {
+
+// Control hosts that joined the log of a fleet that tolerates one lost disk. Messages arrive and
+// disks sync at once.
+struct forming_fleet {
+    manual_clock clock;
+    std::vector<std::unique_ptr<control_host>> hosts;
+    std::vector<configuration_answer> answers;
+
+    explicit forming_fleet(std::uint32_t joined) {
+        durable_log stored;
+        for (std::uint32_t i = 1; i <= joined; ++i) {
+            stored.snapshot.members.voters.push_back(host_id{i});
+            stored.snapshot.members.addresses[host_id{i}] = {i, 7000};
+        }
+        for (std::uint32_t i = 1; i <= joined; ++i) {
+            control_options options;
+            options.log.self = host_id{i};
+            options.wall_clock = [] { return wall_time{}; };
+            options.automatic_hosts.emplace(); // for three voters
+            options.self_address = {i, 7000};
+            hosts.push_back(std::make_unique<control_host>(options, make_state_codec(), stored,
+                                                           clock.now(), make_seeded_random(i)));
+        }
+    }
+
+    void handle(std::size_t index, control_output output) {
+        for (configuration_answer const& answer : output.configurations)
+            answers.push_back(answer);
+        if (!output.writes.empty())
+            handle(index, hosts[index]->on_synced(clock.now(), output.writes.back().sequence));
+        for (send_to_host& out : output.to_hosts) {
+            std::size_t const to = value_of(out.host) - 1;
+            if (to < hosts.size())
+                handle(to, hosts[to]->on_host_message(
+                               clock.now(), host_id{static_cast<std::uint32_t>(index) + 1},
+                               std::move(out.message)));
+        }
+    }
+
+    void run(duration period) {
+        for (time_point const end = clock.now() + period; clock.now() < end;) {
+            clock.advance(std::chrono::milliseconds{10});
+            for (std::size_t i = 0; i < hosts.size(); ++i)
+                handle(i, hosts[i]->on_tick(clock.now()));
+        }
+    }
+
+    // Offers the configuration to each host once a second. Returns whether one acknowledged it.
+    bool is_acknowledged(configuration const& candidate, duration period) {
+        for (time_point const end = clock.now() + period; clock.now() < end;) {
+            for (std::size_t i = 0; i < hosts.size(); ++i)
+                handle(i, hosts[i]->on_configuration(clock.now(), 1, candidate));
+            run(std::chrono::seconds{1});
+        }
+        return std::any_of(answers.begin(), answers.end(), [](configuration_answer const& answer) {
+            return answer.verdict == configuration_verdict::accepted;
+        });
+    }
+};
+
+configuration numbered_configuration(std::uint64_t number) {
+    configuration result;
+    result.number = number;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a configuration is not acknowledged by a founder that no host has joined") {
+    forming_fleet fleet(1);
+    CHECK_FALSE(fleet.is_acknowledged(numbered_configuration(7), std::chrono::seconds{60}));
+    CHECK(fleet.hosts[0]->log().role() == log_role::leader);
+    CHECK(fleet.hosts[0]->state().routes()->number == 0);
+}
+
+TEST_CASE("a claim is not acknowledged by a founder that no host has joined") {
+    forming_fleet fleet(1);
+    fleet.run(std::chrono::seconds{60});
+    write_claim const write{"1", {"a", {"batch", "slots"}}, "5", 1, {}};
+    auto const answer = find_answer(
+        fleet.hosts[0]->on_operator(fleet.clock.now(), client_id{9}, "a", {"1", write}));
+    REQUIRE(answer.has_value());
+    REQUIRE(std::holds_alternative<operator_refusal>(*answer));
+    CHECK(std::get<operator_refusal>(*answer).reason == control_refusal::no_leader);
+}
+
+TEST_CASE("a configuration that is acknowledged during the first start is on two disks") {
+    for (std::uint32_t const joined : {2U, 3U}) {
+        CAPTURE(joined);
+        forming_fleet fleet(joined);
+        CHECK(fleet.is_acknowledged(numbered_configuration(7), std::chrono::seconds{12}));
+        auto const holders =
+            std::count_if(fleet.hosts.begin(), fleet.hosts.end(),
+                          [](auto const& host) { return host->state().routes()->number == 7; });
+        CHECK(holders >= 2);
+    }
+}
+
 } // namespace toucanusher::tests
