Control processes close their link server before they release it

The decide duty of a control host and the answer duty of a redirector still run when the destructor releases the link server, and may send on it: they would use a null pointer or a destroyed server. The destructors now close the server, after which send() returns false, and release it once the duties have ended.

--- a/programs/control_process.cpp
+++ b/programs/control_process.cpp
@@ -67,7 +67,8 @@
         admin_.reset();
         api_.reset();
         readiness_.reset();
-        server_.reset();
+        if (server_)
+            server_->close();
         events_.close();
         decide_.reset();
         writes_.close();
--- a/programs/control_redirector.cpp
+++ b/programs/control_redirector.cpp
@@ -87,7 +87,8 @@
         admin_.reset();
         api_.reset();
         readiness_.reset();
-        server_.reset();
+        if (server_)
+            server_->close();
         events_.close();
         answer_.reset();
         if (session_)
