Tests of servers take ports that are free for TCP

duties_test lost its case of links or of HTTP now and then: the server could not listen. Cause: the port was probed with UDP, but belonged to a TCP connection in TIME_WAIT, of which a run of the link tests leaves hundreds. The three tests now share free_address(), which probes with TCP.

No check was changed.

--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -10,6 +10,7 @@
 #include "src/process/io/http_server.h"
 #include "src/process/io/link.h"
 #include "src/process/io/udp_port.h"
+#include "tests/free_address.h"
 #include "toucanusher/process/ring.h"
 
 namespace toucanusher::tests {
@@ -23,13 +24,6 @@
     return std::chrono::steady_clock::now() + wait_timeout;
 }
 
-// Returns an address whose port the system has just assigned and that is free again.
-endpoint free_address() {
-    udp_duties duties(1);
-    auto const port = udp_port::open(duties, {.bind = {loopback, 0}}, [](datagram) {});
-    return (*port)->local();
-}
-
 } // namespace
 
 TEST_CASE("a datagram sent from one port arrives at another") {
--- a/tests/link_close_test.cpp
+++ b/tests/link_close_test.cpp
@@ -10,7 +10,7 @@
 #include <doctest/doctest.h>
 
 #include "src/process/io/link.h"
-#include "src/process/io/udp_port.h"
+#include "tests/free_address.h"
 #include "toucanusher/process/duty.h"
 #include "toucanusher/process/ring.h"
 
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr std::uint32_t loopback = 0x7f000001;
 constexpr auto close_timeout = std::chrono::seconds{20}; // the test takes less than two seconds
 
 void pause(duration span) {
@@ -26,12 +25,6 @@
     (void)nothing.pop_until(std::chrono::steady_clock::now() + span);
 }
 
-endpoint free_address() {
-    udp_duties duties(1);
-    auto const port = udp_port::open(duties, {.bind = {loopback, 0}}, [](datagram) {});
-    return (*port)->local();
-}
-
 } // namespace
 
 TEST_CASE("links to a server that comes and goes close") {
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -19,6 +19,7 @@
 
 #include "src/process/frame_codec.h"
 #include "src/process/io/link.h"
+#include "tests/free_address.h"
 #include "toucanusher/process/clock.h"
 #include "toucanusher/process/duty.h"
 #include "toucanusher/process/endpoint.h"
@@ -55,10 +56,6 @@
     tcp::acceptor acceptor_;
 };
 
-endpoint free_address() {
-    return plain_listener().address();
-}
-
 class plain_client {
   public:
     plain_client() : socket_(io_, tcp::v4()) {}
