Daemons search a control host by versioned directories, each host once

Cause: a daemon took any directory that it was told, followed a redirector to any host of it, also to the one just left, and kept a host without a leader for another 1.5 s.

Change: a directory carries the log index of its membership; an older or equal one replaces a newer one only once every host of the newer one has failed. A host that did not answer, had no leader or only redirected is tried after all others for 30 s, the one that failed longest ago first. A host whose contact with a leader is older than leader_contact_timeout is left at once while an untried one remains, else after the first receive timeout. A daemon whose host loses its leader (500 ms) sends heartbeats at the interval of a new session. What an earlier link received is dropped, so that it doesn't count against the next host.

--- a/include/toucanusher/connection/link_monitor.h
+++ b/include/toucanusher/connection/link_monitor.h
@@ -29,10 +29,6 @@
         answered_ = true;
     }
 
-    // Records an answer of a peer that cannot serve. It gets receive_timeout from the last contact
-    // or step, as a peer that stopped answering does.
-    void on_unusable_answer() { answered_ = true; }
-
     // Starts over, after the caller has replaced the link.
     void restart(time_point now) {
         waiting_since_ = now;
--- a/include/toucanusher/process/replicated_log.h
+++ b/include/toucanusher/process/replicated_log.h
@@ -101,6 +101,8 @@
     [[nodiscard]] log_index commit_index() const { return commit_; }
     [[nodiscard]] log_index last_index() const;
     [[nodiscard]] log_members const& members() const { return members_; }
+    // Log index that members() covers: they are older than any membership of a higher index.
+    [[nodiscard]] log_index members_index() const { return members_index_; }
     // Returns false while the newest membership change is uncommitted and may be rolled back.
     [[nodiscard]] bool members_committed() const { return members_index_ <= commit_; }
     [[nodiscard]] std::size_t entry_count() const { return entries_.size(); }
--- a/include/toucanusher/version/control_message.h
+++ b/include/toucanusher/version/control_message.h
@@ -50,6 +50,7 @@
     std::optional<duration> leader_contact_age; // since the sender's last contact with a leader
     std::optional<std::uint64_t> confirmed_instance; // process instance for which `newest` is fresh
     std::vector<endpoint> control_hosts;             // to connect to if the sender stops responding
+    log_index directory_version = 0; // log index of the membership in `control_hosts`
     // The sender keeps no state; the hosts in `control_hosts` do.
     bool directory_only = false;
 
@@ -209,6 +210,7 @@
 struct join_answer {
     endpoint sender;             // link address
     std::vector<endpoint> hosts; // link addresses of control hosts
+    log_index version = 0;       // log index of the membership in `hosts`
 };
 
 // Wraps each message between control hosts: the encoded message and its sender, both sealed.
--- a/include/toucanusher/version/host_referral.h
+++ b/include/toucanusher/version/host_referral.h
@@ -12,6 +12,7 @@
 
 #include "toucanusher/process/clock.h"
 #include "toucanusher/process/endpoint.h"
+#include "toucanusher/process/log_types.h"
 
 namespace toucanusher {
 
@@ -25,12 +26,17 @@
     host_referral(host_referral_options options, time_point now)
         : options_(options), appoints_at_(now + options.appointment_delay) {}
 
-    // Sets the hosts that a control host named in its answer.
-    void set_hosts(std::vector<endpoint> hosts) { hosts_ = std::move(hosts); }
+    // Sets the hosts that a control host named in its answer, and the version of its directory.
+    void set_hosts(std::vector<endpoint> hosts, log_index version) {
+        hosts_ = std::move(hosts);
+        version_ = version;
+    }
     // Records that control hosts announced themselves, so that none is appointed.
     void on_announcement() { options_.may_appoint = false; }
     // Returns the hosts to name to a daemon.
     [[nodiscard]] std::vector<endpoint> const& hosts() const { return hosts_; }
+    // Log index of the membership in hosts().
+    [[nodiscard]] log_index version() const { return version_; }
     // Returns the hosts to name to a control host that searches the others.
     [[nodiscard]] std::vector<endpoint> hosts_for(time_point now, endpoint searching_host);
 
@@ -38,6 +44,7 @@
     host_referral_options options_;
     time_point appoints_at_;
     std::vector<endpoint> hosts_;
+    log_index version_ = 0;
     std::optional<endpoint> appointed_; // never changes once set
 };
 
--- a/programs/control_redirector.cpp
+++ b/programs/control_redirector.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -38,10 +39,10 @@
   public:
     control_host_cache(host_referral_options options, time_point now) : referral_(options, now) {}
 
-    void set(endpoint current, std::vector<endpoint> hosts) {
+    void set(endpoint current, std::vector<endpoint> hosts, log_index version) {
         std::lock_guard const lock(mutex_);
         current_ = current;
-        referral_.set_hosts(std::move(hosts));
+        referral_.set_hosts(std::move(hosts), version);
     }
     void on_announcement() {
         std::lock_guard const lock(mutex_);
@@ -51,9 +52,9 @@
         std::lock_guard const lock(mutex_);
         return current_;
     }
-    [[nodiscard]] std::vector<endpoint> hosts() const {
+    [[nodiscard]] std::pair<std::vector<endpoint>, log_index> directory() const {
         std::lock_guard const lock(mutex_);
-        return referral_.hosts();
+        return {referral_.hosts(), referral_.version()};
     }
     [[nodiscard]] std::vector<endpoint> hosts_for(time_point now, endpoint searching_host) {
         std::lock_guard const lock(mutex_);
@@ -102,7 +103,7 @@
                                   .add("api", to_string(config_.api)));
         session_ = std::make_unique<control_session>(
             context_, daemon_role::control, [this](control_view const& view) {
-                control_hosts_.set(view.host, view.control_hosts);
+                control_hosts_.set(view.host, view.control_hosts, view.directory_version);
             });
         heartbeat content;
         content.follows_state = false;
@@ -189,7 +190,7 @@
     void answer_daemon(link_peer peer) {
         state_update update;
         update.directory_only = true;
-        update.control_hosts = control_hosts_.hosts();
+        std::tie(update.control_hosts, update.directory_version) = control_hosts_.directory();
         report_directory("daemon", update.control_hosts.size());
         if (!server_->send(peer, context_.sealer->seal(encode_control_message(update))))
             context_.counters.count_refusal("control", "link_send_failed");
@@ -208,7 +209,7 @@
 
     void on_announcement(join_answer const& announced) {
         control_hosts_.on_announcement();
-        session_->add_announced_hosts(announced.hosts);
+        session_->add_announced_hosts(announced.hosts, announced.version);
     }
 
     void answer_host(endpoint address) {
@@ -231,7 +232,7 @@
     [[nodiscard]] std::string status() const {
         return absl::StrCat("{\"role\":\"control\",\"redirects_to\":\"",
                             to_string(control_hosts_.current()),
-                            "\",\"hosts\":", control_hosts_.hosts().size(), "}\n");
+                            "\",\"hosts\":", control_hosts_.directory().first.size(), "}\n");
     }
 
     process_context& context_;
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -57,8 +57,8 @@
         context_.counters.count_refusal("control", "ring_full");
 }
 
-void control_session::add_announced_hosts(std::vector<endpoint> hosts) {
-    if (!events_.try_push(host_announcement{std::move(hosts)}))
+void control_session::add_announced_hosts(std::vector<endpoint> hosts, log_index version) {
+    if (!events_.try_push(host_announcement{std::move(hosts), version}))
         context_.counters.count_refusal("control", "ring_full");
 }
 
@@ -77,7 +77,7 @@
         time_point const now = context_.clock.now();
         if (heartbeats.is_due(now)) {
             send_heartbeat(now);
-            heartbeats.on_sent(now, is_established());
+            heartbeats.on_sent(now, is_established() && !contact_.loses_leader());
         }
         if (leave_unresponsive_host(now))
             heartbeats.request(now);
@@ -86,12 +86,13 @@
         if (!event)
             continue;
         version_number const before = follower_.version();
-        if (auto const* bytes = std::get_if<std::string>(&*event))
-            on_bytes(context_.clock.now(), *bytes);
-        else if (auto* seeds = std::get_if<seed_update>(&*event))
+        if (auto const* received = std::get_if<received_bytes>(&*event)) {
+            if (received->link == link_number_)
+                on_bytes(context_.clock.now(), received->bytes);
+        } else if (auto* seeds = std::get_if<seed_update>(&*event))
             contact_.set_seeds(std::move(seeds->links));
         else if (auto* announced = std::get_if<host_announcement>(&*event))
-            on_announcement(context_.clock.now(), std::move(announced->hosts));
+            on_announcement(context_.clock.now(), std::move(*announced));
         else
             heartbeats.request(context_.clock.now());
         bool const link_changed = std::exchange(link_changed_, false);
@@ -140,8 +141,9 @@
 
 void control_session::connect() {
     link_.reset();
-    auto link = link_client::open(contact_.host(), [this](std::string bytes) {
-        if (!events_.try_push(std::move(bytes)))
+    std::uint64_t const number = ++link_number_;
+    auto link = link_client::open(contact_.host(), [this, number](std::string bytes) {
+        if (!events_.try_push(received_bytes{number, std::move(bytes)}))
             context_.counters.count_refusal("control", "ring_full");
     });
     if (link.ok())
@@ -216,12 +218,13 @@
     time_point const last_leader_contact =
         update->leader_contact_age ? now - *update->leader_contact_age : time_point{};
     on_view_({follower_.state(), follower_.confirmed(), last_leader_contact, contact_.host(),
-              contact_.directory()});
+              contact_.directory(), contact_.directory_version()});
 }
 
-void control_session::on_announcement(time_point now, std::vector<endpoint> hosts) {
+void control_session::on_announcement(time_point now, host_announcement announced) {
     endpoint const asked = contact_.host();
-    if (contact_.on_announcement(now, std::move(hosts)) == contact_step::connect)
+    if (contact_.on_announcement(now, std::move(announced.hosts), announced.version) ==
+        contact_step::connect)
         follow_directory(asked);
 }
 
--- a/programs/control_session.h
+++ b/programs/control_session.h
@@ -26,6 +26,7 @@
     time_point last_leader_contact{}; // of the control host in use with a leader
     endpoint host;                    // control host in use
     std::vector<endpoint> control_hosts;
+    log_index directory_version = 0; // of control_hosts
 };
 
 class control_session {
@@ -49,7 +50,7 @@
     // Replaces the seeds: addresses that are tried besides the hosts that control names.
     void set_seeds(std::vector<endpoint> seeds);
     // Adds control hosts that announced themselves to this process.
-    void add_announced_hosts(std::vector<endpoint> hosts);
+    void add_announced_hosts(std::vector<endpoint> hosts, log_index version);
     void close();
 
   private:
@@ -59,9 +60,14 @@
     };
     struct host_announcement {
         std::vector<endpoint> hosts;
+        log_index version = 0;
+    };
+    struct received_bytes {
+        std::uint64_t link = 0;
+        std::string bytes;
     };
     // Sealed bytes from control, a heartbeat to send at once, new seeds or announced hosts.
-    using event = std::variant<std::string, heartbeat_request, seed_update, host_announcement>;
+    using event = std::variant<received_bytes, heartbeat_request, seed_update, host_announcement>;
 
     void run();
     [[nodiscard]] bool is_established() const;
@@ -69,7 +75,7 @@
     void connect();
     void send_heartbeat(time_point now);
     void on_bytes(time_point now, std::string const& bytes);
-    void on_announcement(time_point now, std::vector<endpoint> hosts);
+    void on_announcement(time_point now, host_announcement announced);
     void follow_directory(endpoint asked);
     bool leave_unresponsive_host(time_point now);
     static control_host_selector make_host_selector(daemon_config const& config);
@@ -80,6 +86,7 @@
     control_contact contact_; // used by the duty only
     ring<event> events_;
     std::unique_ptr<link_client> link_; // used by the duty only
+    std::uint64_t link_number_ = 0;     // of link_; what an earlier link received is dropped
     state_follower follower_;           // used by the duty only
     bool was_established_ = false;
     time_point lost_at_{};       // start of the time without an established session
--- a/src/version/control_codec.cpp
+++ b/src/version/control_codec.cpp
@@ -38,7 +38,7 @@
 auto fields(Archive& archive, state_update& value) {
     return detail::list_fields(archive, value.base, value.newest, value.commands, value.snapshot,
                                value.leader_contact_age, value.confirmed_instance,
-                               value.control_hosts, value.directory_only);
+                               value.control_hosts, value.directory_version, value.directory_only);
 }
 template <typename Archive>
 auto fields(Archive& archive, read_settings& value) {
@@ -131,7 +131,7 @@
 }
 template <typename Archive>
 auto fields(Archive& archive, join_answer& value) {
-    return detail::list_fields(archive, value.sender, value.hosts);
+    return detail::list_fields(archive, value.sender, value.hosts, value.version);
 }
 template <typename Archive>
 auto fields(Archive& archive, link_acknowledgement& /*value*/) {
--- a/src/version/control_host_daemons.cpp
+++ b/src/version/control_host_daemons.cpp
@@ -108,6 +108,7 @@
     update.newest = state_->version();
     update.leader_contact_age = log_.leader_contact_age(now);
     update.control_hosts = host_addresses();
+    update.directory_version = log_.members_index();
     return update;
 }
 
--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -148,7 +148,8 @@
     for (endpoint const& seed : directory_.seeds())
         if (seed != options_.self_address &&
             std::find(hosts.begin(), hosts.end(), seed) == hosts.end())
-            output_.to_addresses.push_back({seed, join_answer{options_.self_address, hosts}});
+            output_.to_addresses.push_back(
+                {seed, join_answer{options_.self_address, hosts, log_.members_index()}});
 }
 
 void control_host::on_join_request(time_point now, host_id from, join_request const& request) {
@@ -160,7 +161,8 @@
         output_.to_hosts.push_back({*log_.leader(), request});
     std::vector<endpoint> known = host_addresses();
     if (!known.empty())
-        output_.to_hosts.push_back({from, join_answer{options_.self_address, std::move(known)}});
+        output_.to_hosts.push_back(
+            {from, join_answer{options_.self_address, std::move(known), log_.members_index()}});
 }
 
 control_output control_host::on_referral(time_point now, join_answer const& referral) {
--- a/tests/control_host_selector_test.cpp
+++ b/tests/control_host_selector_test.cpp
@@ -19,6 +19,7 @@
 constexpr endpoint c{3, 7000};
 constexpr endpoint d{4, 7000};
 constexpr endpoint stateless{9, 7000};
+constexpr time_point now{std::chrono::hours{1}};
 
 } // namespace
 
@@ -27,7 +28,7 @@
     CHECK(contacts.current() == b);
     std::set<endpoint> tried = {contacts.current()};
     for (int i = 0; i < 2; ++i) {
-        contacts.switch_host();
+        contacts.switch_host(now);
         tried.insert(contacts.current());
     }
     CHECK(tried == std::set<endpoint>{a, b, c});
@@ -35,21 +36,21 @@
 
 TEST_CASE("hosts of the directory are tried before seeds, and stale seeds are kept") {
     control_host_selector contacts({a, b}, 0);
-    contacts.set_directory({a, c, d});
+    contacts.set_directory({a, c, d}, 1);
     CHECK(contacts.current() == a);
-    contacts.switch_host();
+    contacts.switch_host(now);
     CHECK(contacts.current() == c);
-    contacts.switch_host();
+    contacts.switch_host(now);
     CHECK(contacts.current() == d);
-    contacts.switch_host();
+    contacts.switch_host(now);
     CHECK(contacts.current() == b);
 }
 
 TEST_CASE("a host that leaves the directory stays in use while it answers") {
     control_host_selector contacts({a, b}, 0);
-    contacts.set_directory({b, c});
+    contacts.set_directory({b, c}, 1);
     CHECK(contacts.current() == a);
-    contacts.switch_host();
+    contacts.switch_host(now);
     CHECK(contacts.current() == b);
 }
 
@@ -57,20 +58,20 @@
     control_host_selector contacts({a}, 0);
     contacts.set_seeds({d});
     CHECK(contacts.current() == a);
-    contacts.switch_host();
+    contacts.switch_host(now);
     CHECK(contacts.current() == d);
 }
 
 TEST_CASE("a host without state redirects to the hosts of its directory") {
     control_host_selector contacts({stateless}, 0);
-    CHECK_FALSE(contacts.follow_directory({}));
-    CHECK_FALSE(contacts.follow_directory({stateless}));
+    CHECK_FALSE(contacts.follow_directory(now, {}, 1));
+    CHECK_FALSE(contacts.follow_directory(now, {stateless}, 1));
     CHECK(contacts.current() == stateless);
-    REQUIRE(contacts.follow_directory({a, b}));
+    REQUIRE(contacts.follow_directory(now, {a, b}, 1));
     CHECK(contacts.current() != stateless);
     CHECK(contacts.directory() == std::vector<endpoint>{a, b});
     std::set<endpoint> tried = {contacts.current()};
-    contacts.switch_host();
+    contacts.switch_host(now);
     tried.insert(contacts.current());
     CHECK(tried == std::set<endpoint>{a, b});
 }
@@ -78,7 +79,7 @@
 // With several seeds that keep no state, the next seed would name the same hosts again.
 TEST_CASE("a host of the directory is selected before other seeds") {
     control_host_selector contacts({stateless, a, b}, 0);
-    REQUIRE(contacts.follow_directory({c, d}));
+    REQUIRE(contacts.follow_directory(now, {c, d}, 1));
     CHECK(contacts.current() == c);
 }
 
@@ -96,7 +97,7 @@
     for (milliseconds elapsed{0}; elapsed < seconds{4}; elapsed += milliseconds{10})
         if (monitor.on_tick(start + elapsed) == link_step::next_peer) {
             switches.emplace_back(elapsed, contacts.current());
-            contacts.switch_host();
+            contacts.switch_host(start + elapsed);
         }
     REQUIRE(switches.size() >= 3);
     CHECK(switches[0] == std::pair{milliseconds{1500}, a});
--- a/tests/control_host_test.cpp
+++ b/tests/control_host_test.cpp
@@ -267,7 +267,7 @@
     CHECK(referral.hosts_for(now + delay, host_address) == std::vector{host_address});
     CHECK(referral.hosts_for(now + delay, other) == std::vector{host_address});
     CHECK(referral.hosts().empty());
-    referral.set_hosts({other});
+    referral.set_hosts({other}, 1);
     CHECK(referral.hosts_for(now + delay, host_address) == std::vector{other});
 
     host_referral restarted({.may_appoint = true, .appointment_delay = delay}, now);
--- a/tests/host_model.cpp
+++ b/tests/host_model.cpp
@@ -204,10 +204,11 @@
         state_update answer;
         answer.directory_only = true;
         answer.control_hosts = to.directory();
+        answer.directory_version = to.directory_version();
         send({now, to.address(), {}, item.from, std::move(answer)});
     } else if (to.redirects()) {
         if (auto const* announced = std::get_if<join_answer>(&item.message))
-            to.on_announcement(now, announced->hosts);
+            to.on_announcement(now, *announced);
         send({now,
               to.address(),
               {},
--- a/tests/model_follower.cpp
+++ b/tests/model_follower.cpp
@@ -41,7 +41,7 @@
         last_session_ = now;
     if (!heartbeats_->is_due(now))
         return std::nullopt;
-    heartbeats_->on_sent(now, has_session());
+    heartbeats_->on_sent(now, has_session() && !contact_->loses_leader());
     return contact_->host();
 }
 
@@ -50,12 +50,12 @@
         return;
     apply(now, contact_->on_update(now, update));
     if (!update.directory_only)
-        referral_->set_hosts(contact_->directory());
+        referral_->set_hosts(contact_->directory(), contact_->directory_version());
 }
 
-void model_follower::on_announcement(time_point now, std::vector<endpoint> const& hosts) {
+void model_follower::on_announcement(time_point now, join_answer const& announced) {
     referral_->on_announcement();
-    apply(now, contact_->on_announcement(now, hosts));
+    apply(now, contact_->on_announcement(now, announced.hosts, announced.version));
 }
 
 bool model_follower::has_session() const {
--- a/tests/model_follower.h
+++ b/tests/model_follower.h
@@ -29,12 +29,13 @@
     // Returns the host to which a heartbeat is due, if any.
     [[nodiscard]] std::optional<endpoint> on_tick(time_point now);
     void on_update(time_point now, endpoint from, state_update const& update);
-    void on_announcement(time_point now, std::vector<endpoint> const& hosts);
+    void on_announcement(time_point now, join_answer const& announced);
     // Returns the control hosts that this process names to daemons, and to a searching host.
     [[nodiscard]] std::vector<endpoint> const& directory() const { return referral_->hosts(); }
     [[nodiscard]] std::vector<endpoint> referral(time_point now, endpoint searching_host) {
         return referral_->hosts_for(now, searching_host);
     }
+    [[nodiscard]] log_index directory_version() const { return referral_->version(); }
     // Returns whether the host in use answers and is in contact with a leader.
     [[nodiscard]] bool has_session() const;
     [[nodiscard]] bool had_session_since(time_point time) const { return last_session_ >= time; }
