Ask a control host again soon when it reports that it loses its leader

Callers saw: after the loss of its host's leader a daemon searched another host up to 2.0 s later.

Cause: the interval of the heartbeats was chosen when one was sent, before its answer told the age of the host's contact with a leader, so the next followed a second later.

Change: an answer with a contact older than 500 ms makes a heartbeat due within report_delay (150 ms).

--- a/include/toucanusher/version/heartbeat_schedule.h
+++ b/include/toucanusher/version/heartbeat_schedule.h
@@ -11,8 +11,8 @@
     duration interval = std::chrono::seconds{1};
     // Until the session is established; then a heartbeat or its answer may have been lost.
     duration first_interval = std::chrono::milliseconds{150};
-    // Within this time a new version, or an update that cannot be applied yet, is reported. A
-    // missing update may still be in transit.
+    // Within this time a new version, or an update that cannot be applied yet, is reported (a
+    // missing update may still be in transit), and a host that loses its leader is asked again.
     duration report_delay = std::chrono::milliseconds{150};
 };
 
@@ -28,7 +28,7 @@
     }
     // Makes a heartbeat due at once: its content changed, or nothing was sent on the link yet.
     void request(time_point now) { due_at_ = now; }
-    // Records that an update was applied or showed a gap.
+    // Records that an update was applied, showed a gap or came from a host that loses its leader.
     void on_update(time_point now) { due_at_ = std::min(due_at_, now + options_.report_delay); }
 
   private:
--- a/programs/control_session.cpp
+++ b/programs/control_session.cpp
@@ -100,7 +100,8 @@
         if (link_changed || received_part)
             heartbeats.request(context_.clock.now());
         bool const has_gap = std::exchange(has_gap_, false);
-        if (has_gap || follower_.version() != before)
+        bool const is_in_doubt = contact_.answered() && contact_.loses_leader();
+        if (has_gap || is_in_doubt || follower_.version() != before)
             heartbeats.on_update(context_.clock.now());
     }
 }
--- a/tests/control_contact_test.cpp
+++ b/tests/control_contact_test.cpp
@@ -152,6 +152,8 @@
         else if (behaviour == host_behaviour::without_leader)
             update.leader_contact_age = seconds{20};
         apply(contact_->on_update(now_, update));
+        if (contact_->answered() && contact_->loses_leader())
+            heartbeats_.on_update(now_);
         return false;
     }
     void apply(contact_step step) {
--- a/tests/model_follower.cpp
+++ b/tests/model_follower.cpp
@@ -49,6 +49,8 @@
     if (from != contact_->host())
         return;
     apply(now, contact_->on_update(now, update));
+    if (contact_->answered() && contact_->loses_leader())
+        heartbeats_->on_update(now);
     if (!update.directory_only)
         referral_->set_hosts(contact_->directory(), contact_->directory_version());
 }
