Move the trials of the incident to the scripts that speak the platform's protocol

check_includes refuses the platform's names under tools/, and the trials send and read configurations as the scripts of review/ do.

--- a/tools/incident_trial.py
+++ b/review/trials/incident_trial.py
@@ -9,7 +9,7 @@
 of the core ran. Besides, every machine is asked to read back the configuration, and processes whose
 duties make no progress at the end are traced with gdb, if it is installed.
 
-  tools/incident_trial.py --shape westland|beiral --sequence NAME --seed N [--keep FOLDER]
+  review/trials/incident_trial.py --shape westland|beiral --sequence NAME --seed N [--keep FOLDER]
 
 Exit code: 0 nothing exceeded ConfigPropagationMs in calm, 1 something did, 2 the trial did not run.
 """
@@ -28,7 +28,7 @@
 import threading
 import time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review", "common"))
 from fleet import BROKEN, HELD, NOT_RUN, Fleet, Operator, make_configuration  # noqa: E402
 from flows import SYN, Packet, to_number  # noqa: E402
--- a/tools/port_reuse_trial.py
+++ b/review/trials/port_reuse_trial.py
@@ -6,7 +6,7 @@
 request from a fresh port is. Prints one line for each pause between the acknowledgement and the
 request.
 
-  tools/port_reuse_trial.py [--keep FOLDER] [--pauses 4,20,60]
+  review/trials/port_reuse_trial.py [--keep FOLDER] [--pauses 4,20,60]
 
 Exit code: 0 if the new service ran all requests, 1 if the old one ran any, 2 if the trial did not
 run.
@@ -18,7 +18,7 @@
 import sys
 import time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review", "common"))
 from fleet import BROKEN, HELD, NOT_RUN, Fleet, Operator, make_configuration  # noqa: E402
 from flows import Client, Target  # noqa: E402
