Open a flow only where the route places new flows, whatever an ended flow left behind

What callers would see: a caller that reuses the port of an ended flow reaches an upstream that is draining (DRAIN), one that is gone (no answer, for as long as it tries), or, by a search, an earlier service of the route (CONFIG, ROUTE).

A hint was checked against the services of the route only, not against the upstreams; and an agent that was asked by a search opened the flow if the packet was an opening one, though searches go to services that the route had before.

Change: an opening packet follows a hint only to an agent that the balancer would choose: of a service that the route has, in the view and not draining; else it drops the hint and is placed. An agent that is asked by a search never opens a flow.

--- a/include/toucanusher/connection/packet_router.h
+++ b/include/toucanusher/connection/packet_router.h
@@ -148,6 +148,8 @@
     void take_search_output(time_point now);
     void on_search_result(time_point now, search_result& result);
     void deliver(time_point now, packet_flow const& flow, hint& known, std::string packet);
+    // Returns whether the route may place a new flow at the agent of the hint.
+    [[nodiscard]] bool takes_new_flows(route const& item, hint const& known) const;
     void record(router_event event, packet_flow const& flow, endpoint agent = {});
     void sweep_hints(time_point now);
     void on_refused_by_all(time_point now, endpoint agent, packet_flow const& flow);
--- a/src/connection/packet_router.cpp
+++ b/src/connection/packet_router.cpp
@@ -21,13 +21,6 @@
         known.erase(known.begin());
 }
 
-// Returns whether new flows of the route may go to the service.
-bool has_service(route const& item, std::string const& service) {
-    return std::any_of(item.split.begin(), item.split.end(), [&](weighted_service const& part) {
-        return part.service == service && part.weight > 0;
-    });
-}
-
 bool contains(std::vector<endpoint> const& agents, endpoint agent) {
     return std::find(agents.begin(), agents.end(), agent) != agents.end();
 }
@@ -133,10 +126,9 @@
         return;
     }
     auto known = hints_.find(head.flow);
-    // A caller may reuse the port of an ended flow, whose service the route may no longer have.
-    bool const outdated = opens && known != hints_.end() &&
-                          !has_service(view_.routes->routes[*at], known->second.service);
-    if (outdated) {
+    // A caller may reuse the port of an ended flow.
+    if (opens && known != hints_.end() &&
+        !takes_new_flows(view_.routes->routes[*at], known->second)) {
         hints_.erase(known);
         known = hints_.end();
     }
@@ -446,6 +438,19 @@
     return result;
 }
 
+bool packet_router::takes_new_flows(route const& item, hint const& known) const {
+    auto const choices = view_.upstreams.find(known.service);
+    bool const named =
+        std::any_of(item.split.begin(), item.split.end(), [&](weighted_service const& part) {
+            return part.service == known.service && part.weight > 0;
+        });
+    return named && choices != view_.upstreams.end() &&
+           std::any_of(choices->second.begin(), choices->second.end(),
+                       [&](upstream_choice const& choice) {
+                           return choice.agent == known.agent && !choice.draining;
+                       });
+}
+
 std::vector<std::string> const& packet_router::earlier_services(packet_flow const& flow) const {
     static std::vector<std::string> const none;
     auto const known = earlier_services_.find(flow.route);
--- a/src/connection/upstream_flows.cpp
+++ b/src/connection/upstream_flows.cpp
@@ -71,6 +71,11 @@
     }
     if (known != flows_.end()) {
         deliver(now, head, known->second, std::move(message));
+    } else if (opens && message.purpose == forward_purpose::search) {
+        // A search asks earlier services of the route too, which take no new flows.
+        record(flow_event::not_held, head.flow);
+        notify(message.origin, flow_report::not_held, head.flow, std::move(message.packet),
+               head.acknowledged);
     } else if (opens) {
         open_flow(now, head, std::move(message));
     } else if (may_be_incomplete(now) && !only_closes(head) && flows_.size() < options_.max_flows) {
--- a/tests/packet_router_test.cpp
+++ b/tests/packet_router_test.cpp
@@ -276,6 +276,29 @@
     CHECK(after[0].message.purpose == forward_purpose::open);
 }
 
+TEST_CASE("a reused caller port does not open a flow at an upstream that is draining or gone") {
+    for (bool const gone : {false, true}) {
+        CAPTURE(gone);
+        packet_router router = make_router({{"batch", 1}});
+        auto const before = forwarded(router.on_packet(start, head_of(flow_a, true), "opening"));
+        REQUIRE(before.size() == 1);
+        endpoint const agent = before[0].agent;
+        (void)router.on_notice(start, agent, make_notice(flow_report::held));
+        router_view view = make_view(make_routes(1, {{"batch", 1}}));
+        for (upstream_choice& choice : view.upstreams["batch"])
+            choice.draining = choice.agent == agent;
+        if (gone)
+            std::erase_if(view.upstreams["batch"],
+                          [&](upstream_choice const& choice) { return choice.agent == agent; });
+        (void)router.set_view(start + seconds{2}, view);
+        auto const after = forwarded(
+            router.on_packet(start + seconds{10}, head_of(flow_a, true), "opening again"));
+        REQUIRE(after.size() == 1);
+        CHECK(after[0].agent != agent);
+        CHECK(after[0].message.purpose == forward_purpose::open);
+    }
+}
+
 TEST_CASE("packets of a removed route are dropped, also those of flows with a hint") {
     packet_router router = make_router();
     (void)router.on_notice(start, first_agent, make_notice(flow_report::held));
--- a/tests/upstream_flows_test.cpp
+++ b/tests/upstream_flows_test.cpp
@@ -164,6 +164,19 @@
     CHECK(actions_of<notify_balancer>(output)[0].notice.report == flow_report::held);
 }
 
+// A search also asks services that the route no longer has.
+TEST_CASE("a search opens no flow") {
+    for (bool const complete : {true, false}) {
+        upstream_flows flows = make_flows(complete);
+        forwarded_packet search = opening_packet({}, 1);
+        search.purpose = forward_purpose::search;
+        auto const output = flows.on_forwarded(start, opening_head(flow_a), search);
+        CHECK(actions_of<deliver_to_upstream>(output).empty());
+        REQUIRE(actions_of<notify_balancer>(output).size() == 1);
+        CHECK(actions_of<notify_balancer>(output)[0].notice.report == flow_report::not_held);
+    }
+}
+
 TEST_CASE("an opening packet that the upstream returns or does not answer is relayed") {
     upstream_flows flows = make_flows();
     (void)flows.on_forwarded(start, opening_head(flow_a), opening_packet({other_agent}, 1));
