--- a/src/version/control_host_routes.cpp
+++ b/src/version/control_host_routes.cpp
@@ -66,7 +66,8 @@
            now - leader_since_ >= options_.formation_timeout;
 }
 
-// Of n voters, n / 2 + 1 store what is acknowledged.
+// Of n voters, n / 2 + 1 store what is acknowledged. With fewer than planned, what was acknowledged
+// outlives the tolerated losses, but a majority may not.
 bool control_host::outlives_losses() const {
     if (!options_.automatic_hosts)
         return true;
