Name no structured binding in a captured expression of platform_test

clang-tidy ended with an error on tests/platform_test.cpp: clang 14 takes no structured binding in CAPTURE, which is a lambda. It was the only finding of a whole lint run on 163 files. The heartbeat is a plain variable now; the checks are the same, 17 of 17 cases pass, and clang-tidy has no finding in the file.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -374,8 +374,9 @@
 }
 
 TEST_CASE("late heartbeats do not replace an upstream that goes on sending") {
-    for (auto const& [name, born] : {std::pair{"i-1", 1000}, std::pair{"i-0", 500}}) {
-        CAPTURE(name);
+    for (upstream_heartbeat late :
+         {make_heartbeat("i-1", 1000, 0), make_heartbeat("i-0", 500, 0)}) {
+        CAPTURE(late.name);
         upstream_incarnation incarnation("x");
         incarnation.on_heartbeat(heartbeat_start, make_heartbeat("i-1", 1000, 1));
         for (std::uint64_t i = 1; i < 50; ++i) {
@@ -383,8 +384,8 @@
             if (i % 4 == 1) // every 1.2 s
                 CHECK(incarnation.on_heartbeat(now, make_heartbeat("i-2", 5000, i)) !=
                       heartbeat_effect::late);
-            CHECK(incarnation.on_heartbeat(now, make_heartbeat(name, born, i + 1)) ==
-                  heartbeat_effect::late);
+            late.sequence = i + 1;
+            CHECK(incarnation.on_heartbeat(now, late) == heartbeat_effect::late);
         }
     }
 }
